--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/memory.rs
@@ -0,0 +1,1 @@
+//! Memory of an engine and the orders that change it.
--- /dev/null
+++ b/crates/table/src/diff.rs
@@ -0,0 +1,1 @@
+//! Filled below.
