Table: read and write CSV, name every problem, typed differences

The operators' table is read from what a spreadsheet writes (byte order mark, either line end, quotes, comma, semicolon or tab). All problems come at once, each with line, row, column, value and what is allowed; names that are close to a known column or model are suggested. Every column must be there: a column deleted by accident would otherwise reset its values to the defaults.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -27,6 +27,24 @@
 impl Priority {
     /// Every value, most urgent first.
     pub const ALL: [Self; 3] = [Self::Urgent, Self::Normal, Self::Bulk];
+
+    /// The name used in the table, headers and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Urgent => "urgent",
+            Self::Normal => "normal",
+            Self::Bulk => "bulk",
+        }
+    }
+
+    /// The priority with this label.
+    #[must_use]
+    pub fn from_label(label: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|priority| priority.label() == label)
+    }
 }
 
 /// An HTTP call as it goes to an upstream.
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -3,11 +3,16 @@
 //! [`csv`] reads and writes the form that a spreadsheet opens, [`Table`] is an accepted
 //! version in force, [`Row`] one line of it.
 
+mod cell;
+mod column;
 pub mod csv;
 pub mod delta;
 pub mod diff;
+mod problem;
 mod row;
 
+pub use column::Column;
+pub use problem::{Fault, Problem};
 pub use row::{Kind, Row};
 
 use mulberryrack_core::Name;
--- a/crates/table/src/row.rs
+++ b/crates/table/src/row.rs
@@ -16,6 +16,27 @@
     Service,
 }
 
+impl Kind {
+    /// Every value.
+    pub const ALL: [Self; 3] = [Self::Model, Self::Adapter, Self::Service];
+
+    /// The name used in the table.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Model => "model",
+            Self::Adapter => "adapter",
+            Self::Service => "service",
+        }
+    }
+
+    /// The kind with this label.
+    #[must_use]
+    pub fn from_label(label: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.label() == label)
+    }
+}
+
 /// One row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
