--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod demand;
 pub mod hash;
 pub mod kv;
+pub mod kv_json;
 pub mod node;
 pub mod note;
 pub mod outcome;
