--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -28,3 +28,20 @@
     }
     -share / uniform.ln()
 }
+
+/// Bytes of a prompt in one block of an engine's prefix cache.
+pub const PREFIX_BLOCK: usize = 256;
+
+/// Hash of each whole leading block of a model's prompt, every one covering all before.
+#[must_use]
+pub fn prefix(model: &str, prompt: &str) -> Vec<u64> {
+    let mut covered = stable(model.as_bytes(), 0);
+    prompt
+        .as_bytes()
+        .chunks_exact(PREFIX_BLOCK)
+        .map(|block| {
+            covered = stable(block, covered);
+            covered
+        })
+        .collect()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod caller;
 pub mod claim;
+pub mod completion;
 pub mod demand;
 pub mod hash;
 pub mod kv;
