--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,9 +15,11 @@
 
 pub mod caller;
 pub mod claim;
+pub mod completion;
 pub mod demand;
 pub mod hash;
 pub mod kv;
+pub mod kv_json;
 pub mod node;
 pub mod note;
 pub mod outcome;
