--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,462 @@
+//! The engine stand-in under virtual time.
+
+use bytes::Bytes;
+use mulberryrack_core::{
+    Incarnation, Name, Time,
+    completion::{Completion, PATH},
+    hash::PREFIX_BLOCK,
+    request::Call,
+    upstream::{Action, Contact, Fault, Order, Report},
+};
+use mulberryrack_standin::{
+    answer::{self, Flaw},
+    engine::{Engine, Input, Output, Settings, Ticket},
+    run::{POISON, doubles},
+};
+use serde_json::json;
+use std::{collections::BTreeMap, time::Duration};
+
+const TOKENS: u32 = 20;
+
+/// What one exchange has brought.
+#[derive(Debug, Default)]
+struct Exchange {
+    status: Option<u16>,
+    first: Option<Time>,
+    body: Vec<u8>,
+    end: Option<Time>,
+    fault: Option<Fault>,
+    contact: Option<Contact>,
+}
+
+/// An engine and what it said.
+struct Bench {
+    engine: Engine,
+    now: Time,
+    exchanges: BTreeMap<Ticket, Exchange>,
+    events: Vec<Output>,
+}
+
+impl Bench {
+    fn new(settings: Settings) -> Self {
+        Self {
+            engine: Engine::new(settings, Incarnation(1)),
+            now: Time::ZERO,
+            exchanges: BTreeMap::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// With version `v1` of `m` ready.
+    fn ready(settings: Settings) -> Self {
+        let mut bench = Self::new(settings);
+        bench.order(900, &load(900, 0));
+        bench.input(Input::Fetched {
+            row: "m".into(),
+            incarnation: Incarnation(1),
+        });
+        bench
+    }
+
+    fn input(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.engine.handle(self.now, input, &mut out);
+        for output in out {
+            self.note(output);
+        }
+    }
+
+    fn note(&mut self, output: Output) {
+        let now = self.now;
+        match output {
+            Output::Head { ticket, status, .. } => self.exchange_mut(ticket).status = Some(status),
+            Output::Chunk { ticket, bytes } => {
+                let exchange = self.exchange_mut(ticket);
+                exchange.first.get_or_insert(now);
+                exchange.body.extend(bytes);
+            }
+            Output::End { ticket } => self.exchange_mut(ticket).end = Some(now),
+            Output::Fault { ticket, fault } => self.exchange_mut(ticket).fault = Some(fault),
+            Output::Contact { ticket, contact } => {
+                self.exchange_mut(ticket).contact = Some(contact);
+            }
+            event => self.events.push(event),
+        }
+    }
+
+    /// Lets time pass until `end`, or until nothing is left to do.
+    fn run(&mut self, end: Time) {
+        while let Some(at) = self.engine.next_wake().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.input(Input::Wake);
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn call(&mut self, ticket: u64, stream: &str, priority: &str, call: &Call) {
+        let headers: [(Name, Name); 3] = [
+            ("x-stream-id".into(), stream.into()),
+            ("x-priority".into(), priority.into()),
+            ("idempotency-key".into(), format!("key-{stream}").into()),
+        ];
+        let call = Call {
+            headers: headers.into(),
+            ..call.clone()
+        };
+        self.input(Input::Call {
+            ticket: Ticket(ticket),
+            call,
+        });
+    }
+
+    fn order(&mut self, ticket: u64, order: &Order) {
+        self.input(Input::Order {
+            ticket: Ticket(ticket),
+            order: order.clone(),
+        });
+    }
+
+    fn report(&mut self, ticket: u64) -> Report {
+        self.input(Input::Report(Ticket(ticket)));
+        match self.exchanges[&Ticket(ticket)].contact.clone() {
+            Some(Contact::Report(report)) => *report,
+            other => panic!("no report but {other:?}"),
+        }
+    }
+
+    fn exchange_mut(&mut self, ticket: Ticket) -> &mut Exchange {
+        self.exchanges.entry(ticket).or_default()
+    }
+
+    fn exchange(&self, ticket: u64) -> &Exchange {
+        &self.exchanges[&Ticket(ticket)]
+    }
+}
+
+fn load(id: u64, fence: u64) -> Order {
+    Order {
+        id,
+        fence,
+        action: Action::Load {
+            row: "m".into(),
+            version: "v1".into(),
+            memory_mb: 24_000,
+            base: None,
+        },
+    }
+}
+
+fn call(prompt: &str) -> Call {
+    let body = json!({"model": "m", "prompt": prompt, "max_tokens": TOKENS, "stream": true});
+    Call {
+        method: "POST".into(),
+        path: PATH.into(),
+        headers: [].into(),
+        body: body.to_string().into(),
+    }
+}
+
+fn check(call: &Call, body: &[u8]) -> Result<Name, Flaw> {
+    answer::check(&Completion::read(&call.path, &call.body).unwrap(), body)
+}
+
+fn millis(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+#[test]
+fn an_answer_is_whole_and_its_own() {
+    let mut bench = Bench::ready(Settings::default());
+    let (one, other) = (call("one"), call("other"));
+    bench.call(1, "s1", "normal", &one);
+    bench.call(2, "s2", "normal", &other);
+    bench.run(millis(5_000));
+    let body = &bench.exchange(1).body;
+    assert_eq!(check(&one, body).as_deref(), Ok("v1"));
+    assert_eq!(check(&other, &bench.exchange(2).body).as_deref(), Ok("v1"));
+    assert_eq!(check(&other, body), Err(Flaw::Foreign));
+    assert_eq!(check(&one, &body[..body.len() - 20]), Err(Flaw::Cut));
+    let text = std::str::from_utf8(body).unwrap();
+    let mut events: Vec<&str> = text.split_inclusive("\n\n").collect();
+    events.remove(3);
+    assert_eq!(check(&one, events.concat().as_bytes()), Err(Flaw::Spliced));
+    assert!(doubles(&bench.engine.runs).is_empty());
+    assert_eq!(bench.engine.runs.len(), 2);
+}
+
+#[test]
+fn a_whole_answer_without_streaming_has_both_shapes() {
+    let mut bench = Bench::ready(Settings::default());
+    let bodies = [
+        json!({"model": "m", "prompt": "p", "max_tokens": 3}),
+        json!({"model": "m", "messages": [{"role": "user", "content": "p"}]}),
+    ];
+    let paths = [PATH, mulberryrack_core::completion::CHAT_PATH];
+    for (ticket, (body, path)) in (1..).zip(bodies.iter().zip(paths)) {
+        let call = Call {
+            path: path.into(),
+            body: Bytes::from(body.to_string()),
+            ..call("")
+        };
+        bench.call(ticket, path, "normal", &call);
+        bench.run(bench.now + Duration::from_secs(5));
+        assert_eq!(
+            check(&call, &bench.exchange(ticket).body).as_deref(),
+            Ok("v1")
+        );
+    }
+}
+
+#[test]
+fn a_larger_batch_is_slower_for_each_and_faster_in_all() {
+    let time_for = |streams: u64| {
+        let mut bench = Bench::ready(Settings::default());
+        for stream in 1..=streams {
+            bench.call(stream, &format!("s{stream}"), "normal", &call("p"));
+        }
+        bench.run(millis(60_000));
+        let ends = (1..=streams).map(|stream| bench.exchange(stream).end.unwrap());
+        ends.max().unwrap().as_micros()
+    };
+    let (alone, many) = (time_for(1), time_for(32));
+    assert!(many > 2 * alone, "{many} against {alone}");
+    assert!(many < 8 * alone, "{many} against {alone}");
+}
+
+#[test]
+fn cached_blocks_shorten_the_first_token_and_are_evicted_by_age() {
+    let settings = Settings {
+        cache_blocks: 20,
+        ..Settings::default()
+    };
+    let mut bench = Bench::ready(settings);
+    let mut first = |ticket: u64, prompt: &str| {
+        let start = bench.now;
+        bench.call(ticket, &format!("s{ticket}"), "normal", &call(prompt));
+        bench.run(start + Duration::from_secs(10));
+        bench.exchange(ticket).first.unwrap() - start
+    };
+    let long = "a".repeat(16 * PREFIX_BLOCK);
+    let cold = first(1, &long);
+    let warm = first(2, &long);
+    assert!(warm + 15 * Settings::default().prefill_block <= cold);
+    first(3, &"b".repeat(16 * PREFIX_BLOCK));
+    let evicted = first(4, &long);
+    assert!(evicted > warm, "{evicted:?} against {warm:?}");
+}
+
+#[test]
+fn urgent_requests_leave_the_queue_first() {
+    let settings = Settings {
+        slots: 1,
+        queue: 2,
+        ..Settings::default()
+    };
+    let mut bench = Bench::ready(settings);
+    bench.call(1, "running", "bulk", &call("p"));
+    bench.call(2, "bulk", "bulk", &call("p"));
+    bench.call(3, "urgent", "urgent", &call("p"));
+    bench.call(4, "over", "urgent", &call("p"));
+    assert_eq!(bench.exchange(4).status, Some(503));
+    bench.run(millis(60_000));
+    assert!(bench.exchange(3).end < bench.exchange(2).end);
+    assert_eq!(bench.engine.runs.len(), 3);
+}
+
+#[test]
+fn a_silent_stream_is_resumed_with_every_byte_once() {
+    let mut bench = Bench::ready(Settings::default());
+    let call = call("p");
+    bench.call(1, "s", "normal", &call);
+    bench.run(millis(120));
+    bench.input(Input::Silence);
+    bench.run(millis(200));
+    let seen = bench.exchange(1).body.clone();
+    assert!(!seen.is_empty() && bench.exchange(1).end.is_none());
+    let resume = |stream: &str, offset: usize, ticket| Input::Resume {
+        ticket: Ticket(ticket),
+        stream: stream.into(),
+        offset: offset as u64,
+    };
+    bench.input(resume("s", seen.len(), 2));
+    bench.input(resume("s", 1 << 20, 3));
+    bench.input(resume("unknown", 0, 4));
+    bench.run(millis(2_000));
+    assert!(bench.exchange(1).end.is_none());
+    let whole = [seen, bench.exchange(2).body.clone()].concat();
+    assert_eq!(check(&call, &whole).as_deref(), Ok("v1"));
+    assert_eq!(bench.exchange(3).status, Some(416));
+    assert_eq!(bench.exchange(4).status, Some(404));
+    bench.input(resume("s", 0, 5));
+    assert_eq!(bench.exchange(5).body, whole);
+    bench.run(millis(60_000));
+    bench.input(resume("s", 0, 6));
+    assert_eq!(bench.exchange(6).status, Some(404));
+}
+
+#[test]
+fn a_cancelled_stream_frees_its_place() {
+    let settings = Settings {
+        slots: 1,
+        ..Settings::default()
+    };
+    let mut bench = Bench::ready(settings);
+    bench.call(1, "one", "normal", &call("p"));
+    bench.call(2, "two", "normal", &call("p"));
+    bench.call(3, "three", "normal", &call("p"));
+    for (ticket, stream) in [(11, "two"), (12, "two"), (13, "one")] {
+        bench.input(Input::Cancel {
+            ticket: Ticket(ticket),
+            stream: stream.into(),
+        });
+    }
+    assert_eq!(bench.exchange(11).status, Some(200));
+    assert_eq!(bench.exchange(12).status, Some(404));
+    bench.run(millis(5_000));
+    assert!(bench.exchange(3).end.is_some());
+    let ran: Vec<&str> = bench.engine.runs.iter().map(|run| &*run.stream).collect();
+    assert_eq!(ran, ["one", "three"]);
+}
+
+#[test]
+fn a_poisonous_request_crashes_the_engine_which_returns_empty() {
+    let mut bench = Bench::ready(Settings::default());
+    bench.call(1, "innocent", "normal", &call("p"));
+    bench.call(2, "poison", "normal", &call(POISON));
+    assert_eq!(bench.exchange(1).fault, Some(Fault::Broken));
+    assert_eq!(bench.exchange(2).fault, Some(Fault::Broken));
+    assert_eq!((bench.engine.is_down(), bench.engine.crashes), (true, 1));
+    bench.call(3, "down", "normal", &call("p"));
+    assert_eq!(bench.exchange(3).fault, Some(Fault::NotSent));
+    bench.run(millis(6_000));
+    let report = bench.report(4);
+    assert_eq!(report.incarnation, Incarnation(2));
+    assert!(report.residents.is_empty());
+    bench.call(5, "again", "normal", &call("p"));
+    assert_eq!(bench.exchange(5).status, Some(404));
+    assert_eq!(bench.engine.runs.len(), 2);
+}
+
+#[test]
+fn a_hung_engine_says_nothing_and_goes_on_later() {
+    let mut bench = Bench::ready(Settings::default());
+    bench.call(1, "s", "normal", &call("p"));
+    bench.run(millis(100));
+    let before = bench.exchange(1).body.len();
+    bench.input(Input::Hang(true));
+    bench.input(Input::Report(Ticket(2)));
+    bench.run(millis(5_000));
+    assert!(!bench.exchanges.contains_key(&Ticket(2)));
+    assert_eq!(bench.exchange(1).body.len(), before);
+    bench.input(Input::Hang(false));
+    bench.run(millis(8_000));
+    assert!(bench.exchange(1).end.is_some());
+}
+
+#[test]
+fn orders_are_fenced_lost_or_late() {
+    let mut bench = Bench::new(Settings::default());
+    bench.input(Input::LoseOrders(2));
+    bench.order(1, &load(1, 5));
+    assert!(matches!(bench.events[..], [Output::Fetch { .. }]));
+    let unload = |id, fence| Order {
+        id,
+        fence,
+        action: Action::Unload {
+            row: "m".into(),
+            version: "v1".into(),
+        },
+    };
+    bench.order(2, &unload(2, 5));
+    assert!(!bench.exchanges.contains_key(&Ticket(2)));
+    assert_eq!(bench.engine.memory().used_mb(), 24_000);
+    bench.order(3, &unload(3, 4));
+    assert_eq!(bench.exchange(3).contact, Some(Contact::Fenced));
+    bench.input(Input::LoseOrders(0));
+    bench.input(Input::DelayOrders(Some(Duration::from_secs(9))));
+    bench.order(4, &unload(4, 5));
+    bench.run(millis(8_999));
+    assert_eq!(bench.engine.memory().used_mb(), 24_000);
+    bench.run(millis(9_000));
+    assert_eq!(bench.engine.memory().used_mb(), 0);
+    assert!(!bench.exchanges.contains_key(&Ticket(4)));
+}
+
+#[test]
+fn an_unload_waits_for_running_requests_and_leaving_refuses_new_ones() {
+    let mut bench = Bench::ready(Settings::default());
+    bench.call(1, "s", "normal", &call("p"));
+    bench.input(Input::Leave(true));
+    bench.call(2, "t", "normal", &call("p"));
+    assert_eq!(bench.exchange(2).status, Some(503));
+    bench.order(
+        3,
+        &Order {
+            id: 3,
+            fence: 0,
+            action: Action::Unload {
+                row: "m".into(),
+                version: "v1".into(),
+            },
+        },
+    );
+    assert_eq!(bench.engine.memory().used_mb(), 24_000);
+    bench.run(millis(5_000));
+    assert!(bench.exchange(1).end.is_some());
+    assert_eq!(bench.engine.memory().used_mb(), 0);
+}
+
+#[test]
+fn reports_lag_and_cache_events_have_gaps() {
+    let mut bench = Bench::ready(Settings::default());
+    bench.run(millis(2_000));
+    bench.report(1);
+    bench.run(millis(3_000));
+    let prompt = "a".repeat(14 * PREFIX_BLOCK);
+    bench.call(2, "s", "normal", &call(&prompt));
+    bench.run(millis(3_200));
+    let early = bench.report(3);
+    assert_eq!((early.running, early.cached.len()), (0, 0));
+    assert_eq!(early.residents.len(), 1);
+    bench.run(millis(4_500));
+    let late = bench.report(4);
+    assert_eq!(late.cached.len(), 12);
+    assert!(late.sequence > early.sequence && late.age_ms >= 500);
+}
+
+#[test]
+fn an_exported_cache_shortens_the_first_token_elsewhere() {
+    let mut one = Bench::ready(Settings::default());
+    let prompt = "a".repeat(16 * PREFIX_BLOCK);
+    one.call(1, "s", "normal", &call(&prompt));
+    one.run(millis(3_000));
+    one.order(
+        2,
+        &Order {
+            id: 2,
+            fence: 0,
+            action: Action::Export {
+                row: "m".into(),
+                to: "127.0.0.1:9".into(),
+            },
+        },
+    );
+    let Some(Output::Export {
+        row,
+        version,
+        blocks,
+        ..
+    }) = one.events.pop()
+    else {
+        panic!("nothing was exported");
+    };
+    let mut other = Bench::ready(Settings::default());
+    other.input(Input::Import {
+        row,
+        version,
+        blocks,
+    });
+    other.call(1, "s", "normal", &call(&prompt));
+    other.run(millis(3_000));
+    assert!(other.exchange(1).first.unwrap() < millis(50));
+}
