--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! no sockets and no clock, so that tests and replays can drive them in virtual time.
 
 pub mod answer;
+pub mod deployment;
 pub mod engine;
 pub mod kv;
 pub mod list;
