--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -106,6 +106,9 @@
         AnswerGone = "answer-gone",
         /// Its record may have been lost with two hosts at once.
         RecordGap = "record-gap",
+        /// The record of its key could not be read or written in time. This send was not
+        /// run; an earlier one may have been. Sending again with the same key is safe.
+        RecordUnread = "record-unread",
         /// It ran into its deadline while running.
         DeadlinePassed = "deadline-passed",
     }
--- /dev/null
+++ b/crates/ledger/src/owner.rs
@@ -0,0 +1,528 @@
+//! The owner of a shard: claims, resends and what becomes of them.
+
+use crate::{
+    book::{Book, Intent, State},
+    commit::Flight,
+    context::{Context, Vital},
+    fold::Fold,
+    life::Life,
+    log::Header,
+    record::{self, Claim, Kind, Record},
+    witness::Courier,
+};
+use mulberryrack_core::{
+    Time, kv,
+    note::{Counter, Level},
+    outcome::Doubt,
+};
+use mulberryrack_wire::ledger::{self as wire, answer::Verdict, frame::Body};
+use std::{
+    collections::{BTreeMap, VecDeque, btree_map::Entry},
+    time::Duration,
+};
+
+/// Most claims of one id that wait for its earlier claim to be settled.
+const MAX_PARKED: usize = 32;
+
+/// A claim that waits for an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiter {
+    /// Whose claim.
+    pub claim: Claim,
+    /// Hash of target and idempotency key.
+    pub id: u128,
+    /// Hash of the body.
+    pub body: u64,
+    /// The request on the claimant.
+    pub request: u64,
+    /// When the claimant stops waiting.
+    pub until: Time,
+}
+
+/// A record that is not in the log yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Pending {
+    /// The record.
+    pub record: Record,
+    /// When it should be written.
+    pub due: Time,
+    /// Whether the successor keeps it.
+    pub durable: bool,
+}
+
+/// A question to the holder of an intent.
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    claim: Claim,
+    again: Time,
+    pause: Duration,
+}
+
+/// The end of this host's ownership.
+#[derive(Clone, Debug)]
+pub struct Closing {
+    /// The next owner; `None` if no other host is able.
+    pub to: Option<Life>,
+}
+
+/// A shard that this host owns, or is about to own.
+#[derive(Debug)]
+pub struct Owner {
+    /// Number of the shard.
+    pub shard: u32,
+    /// Newest entry of the log.
+    pub header: Header,
+    /// Whether the log says that this host owns the shard.
+    pub established: bool,
+    /// Revision of each position of the ring.
+    pub positions: Vec<Option<kv::Revision>>,
+    /// State of each id, records of `stream` applied.
+    pub book: Book,
+    /// Records after those in the log.
+    pub stream: VecDeque<Pending>,
+    /// Number, in this epoch, of the first record of `stream`.
+    pub committed: u64,
+    /// How many records of `stream` the service or the successor may have.
+    pub exposed: usize,
+    /// The entry that is being written.
+    pub flight: Option<Flight>,
+    /// Copies to the successor.
+    pub courier: Courier,
+    /// Folding of old entries.
+    pub fold: Fold,
+    /// Set while the shard is handed over.
+    pub closing: Option<Closing>,
+    /// Since when another host is first choice.
+    pub displaced: Option<Time>,
+    /// When a record last became durable, or the first one began to wait.
+    pub progress: Time,
+    /// Whether claims are refused since neither service nor successor answers.
+    pub stuck: bool,
+    parked: BTreeMap<u128, Vec<Waiter>>,
+    questions: BTreeMap<u128, Question>,
+}
+
+impl Owner {
+    /// An owner that continues the log after `header`.
+    pub fn new(
+        context: &Context,
+        shard: u32,
+        header: Header,
+        positions: Vec<Option<kv::Revision>>,
+        book: Book,
+        fold: Fold,
+    ) -> Self {
+        Self {
+            shard,
+            header,
+            established: false,
+            positions,
+            book,
+            stream: VecDeque::new(),
+            committed: 0,
+            exposed: 0,
+            flight: None,
+            courier: Courier::default(),
+            fold,
+            closing: None,
+            displaced: None,
+            progress: context.now,
+            stuck: false,
+            parked: BTreeMap::new(),
+            questions: BTreeMap::new(),
+        }
+    }
+
+    /// Decides a claim, or lets it wait.
+    pub fn claim(&mut self, context: &mut Context, waiter: Waiter) {
+        let Some(intent) = self.book.get(waiter.id).copied() else {
+            self.admit(context, waiter);
+            return;
+        };
+        if intent.claim() == waiter.claim {
+            self.repeat(context, &intent, &waiter);
+            return;
+        }
+        match intent.state {
+            State::Waiting => self.park(context, waiter),
+            State::Gap => doubt(context, &waiter, Doubt::RecordGap),
+            _ if intent.body != waiter.body => self.prove(context, &waiter),
+            State::Unknown => doubt(context, &waiter, Doubt::UpstreamLost),
+            State::Forgotten => doubt(context, &waiter, Doubt::AnswerGone),
+            State::Held | State::Ran => self.inquire(context, &intent, waiter),
+        }
+    }
+
+    /// The claimant will never use the grant of its claim.
+    pub fn release(&mut self, context: &mut Context, claim: Claim, id: u128) {
+        let released = self.book.get(id).is_some_and(|intent| {
+            intent.claim() == claim && matches!(intent.state, State::Waiting | State::Held)
+        });
+        if released {
+            self.push(context, plain(Kind::Release, id, claim), Duration::ZERO);
+            self.questions.remove(&id);
+            self.settle(context, id);
+        }
+    }
+
+    /// The claimant's request has ended.
+    pub fn end(&mut self, context: &mut Context, record: Record) {
+        let Some(intent) = self.book.get(record.id) else {
+            return;
+        };
+        let news = match record.kind {
+            Kind::Ran | Kind::Unknown => intent.state == State::Held,
+            Kind::Forgotten => matches!(intent.state, State::Held | State::Ran),
+            _ => false,
+        };
+        if news && intent.claim() == record.claim {
+            let delay = context.settings.end_delay;
+            self.push(context, record, delay);
+        }
+    }
+
+    /// The holder says what became of its claim.
+    pub fn told(&mut self, context: &mut Context, claim: Claim, id: u128, fate: wire::Fate) {
+        let Some(intent) = self.book.get(id).copied() else {
+            return;
+        };
+        if intent.claim() != claim || !matches!(intent.state, State::Held | State::Ran) {
+            return;
+        }
+        match fate {
+            wire::Fate::Waiting => {
+                answer(context, claim, id, Verdict::Granted(wire::Granted {}));
+                return;
+            }
+            wire::Fate::NotSent => {
+                self.release(context, claim, id);
+                return;
+            }
+            wire::Fate::Kept => self.join(context, &intent, id),
+            wire::Fate::Lost => self.end(context, plain(Kind::Forgotten, id, claim)),
+            wire::Fate::Doubtful => self.end(context, plain(Kind::Unknown, id, claim)),
+        }
+        self.questions.remove(&id);
+        if fate != wire::Fate::Kept {
+            self.settle(context, id);
+        }
+    }
+
+    /// Decides the claims that wait for an id.
+    pub fn settle(&mut self, context: &mut Context, id: u128) {
+        for waiter in self.parked.remove(&id).unwrap_or_default() {
+            if waiter.until > context.now {
+                self.claim(context, waiter);
+            }
+        }
+    }
+
+    /// Adds a record to those that wait for the log.
+    pub fn push(&mut self, context: &mut Context, record: Record, delay: Duration) {
+        let wall = context.wall_ms().max(self.header.stamp_ms);
+        self.book.apply(&record, wall, State::Waiting);
+        self.stream.push_back(Pending {
+            record,
+            due: context.now + delay,
+            durable: false,
+        });
+    }
+
+    /// A record has become durable: answers the claim that it is about.
+    pub fn harden(&mut self, context: &mut Context, record: &Record) {
+        self.progress = context.now;
+        if self.stuck {
+            self.stuck = false;
+            context.note(Level::Info, "ledger-claims-resumed", self.shard);
+        }
+        match record.kind {
+            Kind::Intent if self.book.hold(record) => {
+                let verdict = Verdict::Granted(wire::Granted {});
+                answer(context, record.claim, record.id, verdict);
+                self.settle(context, record.id);
+            }
+            Kind::Gap => {
+                let verdict = doubtful(Doubt::RecordGap);
+                answer(context, record.claim, record.id, verdict);
+            }
+            Kind::Probe => {
+                let verdict = Verdict::KeyReused(wire::KeyReused {});
+                answer(context, record.claim, record.id, verdict);
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks holders again, and gives up on those that are dead.
+    pub fn pump_questions(&mut self, context: &mut Context) -> Option<Time> {
+        let due: Vec<u128> = self
+            .questions
+            .iter()
+            .filter(|(_, question)| question.again <= context.now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            self.ask_again(context, id);
+        }
+        self.questions.values().map(|question| question.again).min()
+    }
+
+    /// Refuses what waits when neither service nor successor has answered for long.
+    pub fn pump_refusals(&mut self, context: &mut Context) -> Option<Time> {
+        let waits = self
+            .stream
+            .iter()
+            .take(self.exposed)
+            .any(|pending| !pending.durable);
+        if !waits || self.stuck {
+            return None;
+        }
+        let limit = self.progress + context.settings.refuse_after;
+        if context.now < limit {
+            return Some(limit);
+        }
+        self.stuck = true;
+        context.note(Level::Warn, "ledger-claims-refused", self.shard);
+        self.refuse_all(context);
+        None
+    }
+
+    /// Tells those whose claims wait here to ask `owner`.
+    pub fn dismiss(&mut self, context: &mut Context, epoch: u64, owner: Option<&Life>) {
+        let elsewhere = Verdict::Elsewhere(wire::Elsewhere {
+            shard: self.shard,
+            epoch,
+            owner: owner.map(Life::write),
+        });
+        for (claim, id) in self.waiting_claims() {
+            answer(context, claim, id, elsewhere.clone());
+        }
+    }
+
+    fn admit(&mut self, context: &mut Context, waiter: Waiter) {
+        if self.closing.is_some() {
+            return;
+        }
+        if self.stuck || self.stream.len() >= context.settings.backlog as usize {
+            doubt(context, &waiter, Doubt::RecordUnread);
+            return;
+        }
+        let kind = if self.header.quarantine_ms > context.wall_ms() {
+            Kind::Gap
+        } else {
+            Kind::Intent
+        };
+        let delay = context.settings.batch_delay;
+        self.push(context, of(kind, &waiter), delay);
+    }
+
+    /// A claim that came before, came again.
+    fn repeat(&mut self, context: &mut Context, intent: &Intent, waiter: &Waiter) {
+        let pending = || {
+            self.stream
+                .iter()
+                .any(|pending| pending.record.claim == waiter.claim && !pending.durable)
+        };
+        match intent.state {
+            State::Held => {
+                let verdict = Verdict::Granted(wire::Granted {});
+                answer(context, waiter.claim, waiter.id, verdict);
+            }
+            State::Gap if !pending() => doubt(context, waiter, Doubt::RecordGap),
+            _ => {}
+        }
+    }
+
+    fn park(&mut self, context: &mut Context, waiter: Waiter) {
+        let parked = self.parked.entry(waiter.id).or_default();
+        if parked.iter().any(|other| other.claim == waiter.claim) {
+            return;
+        }
+        if parked.len() >= MAX_PARKED {
+            doubt(context, &waiter, Doubt::RecordUnread);
+            return;
+        }
+        parked.push(waiter);
+    }
+
+    /// The id came with another body. That is said once a commit has shown that this
+    /// host still owns the shard, so that no later owner can have run this body.
+    fn prove(&mut self, context: &mut Context, waiter: &Waiter) {
+        let asked = self
+            .stream
+            .iter()
+            .any(|pending| pending.record.claim == waiter.claim);
+        if asked || self.closing.is_some() {
+            return;
+        }
+        if self.stuck {
+            doubt(context, waiter, Doubt::RecordUnread);
+            return;
+        }
+        let delay = context.settings.batch_delay;
+        self.push(context, of(Kind::Probe, waiter), delay);
+    }
+
+    /// Asks the holder of an intent what became of it.
+    fn inquire(&mut self, context: &mut Context, intent: &Intent, waiter: Waiter) {
+        let holder = context.arena.get(intent.life).clone();
+        if matches!(context.vital(&holder), Vital::Dead | Vital::Gone) {
+            let lost = match intent.state {
+                State::Ran => Doubt::AnswerGone,
+                _ => Doubt::HostLost,
+            };
+            doubt(context, &waiter, lost);
+            return;
+        }
+        self.park(context, waiter);
+        if let Entry::Vacant(entry) = self.questions.entry(waiter.id) {
+            entry.insert(Question {
+                claim: intent.claim(),
+                again: context.now + context.settings.retransmit,
+                pause: context.settings.retransmit,
+            });
+            ask(context, &holder, waiter.id, intent.nonce);
+        }
+    }
+
+    fn ask_again(&mut self, context: &mut Context, id: u128) {
+        let now = context.now;
+        if let Some(parked) = self.parked.get_mut(&id) {
+            parked.retain(|waiter| waiter.until > now);
+        }
+        if self.parked.get(&id).is_none_or(Vec::is_empty) {
+            self.parked.remove(&id);
+            self.questions.remove(&id);
+            return;
+        }
+        let Some(question) = self.questions.get(&id).copied() else {
+            return;
+        };
+        let holder = context.arena.get(question.claim.life).clone();
+        if matches!(context.vital(&holder), Vital::Dead | Vital::Gone) {
+            self.questions.remove(&id);
+            self.settle(context, id);
+            return;
+        }
+        let pause = (question.pause * 2).min(context.settings.retransmit * 8);
+        let again = now + context.jitter(pause);
+        let claim = question.claim;
+        self.questions.insert(
+            id,
+            Question {
+                claim,
+                again,
+                pause,
+            },
+        );
+        ask(context, &holder, id, claim.nonce);
+    }
+
+    fn join(&mut self, context: &mut Context, intent: &Intent, id: u128) {
+        let holder = context.arena.get(intent.life).write();
+        for waiter in self.parked.remove(&id).unwrap_or_default() {
+            if waiter.body != intent.body {
+                self.prove(context, &waiter);
+                continue;
+            }
+            context.count(Counter::Joined);
+            let join = wire::Join {
+                holder: Some(holder.clone()),
+                request: intent.request,
+            };
+            answer(context, waiter.claim, id, Verdict::Join(join));
+        }
+    }
+
+    /// Refuses all claims that wait, and forgets those that nobody else has seen.
+    fn refuse_all(&mut self, context: &mut Context) {
+        for (claim, id) in self.waiting_claims() {
+            answer(context, claim, id, doubtful(Doubt::RecordUnread));
+        }
+        self.parked.clear();
+        self.questions.clear();
+        for pending in self.stream.split_off(self.exposed) {
+            match pending.record.kind {
+                Kind::Intent | Kind::Gap => {
+                    let Record { id, claim, .. } = pending.record;
+                    let undo = plain(Kind::Release, id, claim);
+                    self.book.apply(&undo, 0, State::Waiting);
+                }
+                Kind::Probe => {}
+                _ => self.stream.push_back(pending),
+            }
+        }
+    }
+
+    fn waiting_claims(&self) -> Vec<(Claim, u128)> {
+        let streamed = self
+            .stream
+            .iter()
+            .filter(|pending| !pending.durable)
+            .filter(|pending| {
+                let kind = pending.record.kind;
+                matches!(kind, Kind::Intent | Kind::Gap | Kind::Probe)
+            })
+            .map(|pending| (pending.record.claim, pending.record.id));
+        let parked = self
+            .parked
+            .values()
+            .flatten()
+            .map(|waiter| (waiter.claim, waiter.id));
+        streamed.chain(parked).collect()
+    }
+}
+
+/// Sends the answer to a claim.
+pub fn answer(context: &mut Context, claim: Claim, id: u128, verdict: Verdict) {
+    let (id_high, id_low) = record::halves(id);
+    let to = context.arena.get(claim.life).clone();
+    let answer = wire::Answer {
+        nonce: claim.nonce,
+        id_high,
+        id_low,
+        verdict: Some(verdict),
+    };
+    context.send(&to, Body::Answer(answer));
+}
+
+fn doubt(context: &mut Context, waiter: &Waiter, doubt: Doubt) {
+    answer(context, waiter.claim, waiter.id, doubtful(doubt));
+}
+
+fn doubtful(doubt: Doubt) -> Verdict {
+    Verdict::Doubtful(wire::Doubtful {
+        doubt: doubt.label().to_owned(),
+    })
+}
+
+fn ask(context: &mut Context, holder: &Life, id: u128, nonce: u64) {
+    let (id_high, id_low) = record::halves(id);
+    let ask = wire::Ask {
+        id_high,
+        id_low,
+        nonce,
+    };
+    context.send(holder, Body::Ask(ask));
+}
+
+const fn of(kind: Kind, waiter: &Waiter) -> Record {
+    Record {
+        kind,
+        id: waiter.id,
+        body: waiter.body,
+        claim: waiter.claim,
+        request: waiter.request,
+    }
+}
+
+/// A record that needs neither body nor request.
+pub const fn plain(kind: Kind, id: u128, claim: Claim) -> Record {
+    Record {
+        kind,
+        id,
+        body: 0,
+        claim,
+        request: 0,
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/shard.rs
@@ -0,0 +1,393 @@
+//! One shard as one host sees it: owned, being read, or owned elsewhere.
+
+use crate::{
+    commit::Step,
+    context::{Context, Vital},
+    fold,
+    life::{self, Life},
+    log::Header,
+    owner::{Owner, Waiter},
+    record::{self, Claim, Record},
+    takeover::{self, Choice, Log, Reading},
+    witness::Copy,
+};
+use mulberryrack_core::{
+    Time, earliest, kv,
+    note::{Counter, Level},
+};
+use mulberryrack_wire::ledger::{self as wire, answer::Verdict, frame::Body};
+use std::time::Duration;
+
+/// How often a host checks whether it should read a log.
+const CHECK: Duration = Duration::from_millis(500);
+/// How long a log is believed before it is read again while nobody can act on it.
+const REREAD: Duration = Duration::from_secs(5);
+
+/// This host's part in a shard.
+#[derive(Debug)]
+enum Role {
+    Idle,
+    Reading(Box<Reading>),
+    Owner(Box<Owner>),
+}
+
+/// Who owns a shard, as far as this host has heard.
+#[derive(Clone, Debug)]
+struct Hint {
+    epoch: u64,
+    owner: Option<Life>,
+}
+
+/// One shard.
+#[derive(Debug)]
+pub struct Shard {
+    number: u32,
+    role: Role,
+    hint: Option<Hint>,
+    /// The newest entry as last read, and when.
+    seen: Option<(Option<Header>, Time)>,
+    copy: Option<Copy>,
+    check: Time,
+    swept: Time,
+}
+
+impl Shard {
+    /// A shard of which nothing is known yet.
+    pub const fn new(number: u32, now: Time) -> Self {
+        Self {
+            number,
+            role: Role::Idle,
+            hint: None,
+            seen: None,
+            copy: None,
+            check: now,
+            swept: now,
+        }
+    }
+
+    /// Whether this host owns the shard, or is about to.
+    pub const fn owned(&self) -> bool {
+        matches!(self.role, Role::Owner(_))
+    }
+
+    /// Whether this host may come to own the shard soon.
+    pub const fn settled(&self) -> bool {
+        matches!(self.role, Role::Idle)
+    }
+
+    /// Ids kept in memory.
+    pub fn kept(&self) -> usize {
+        match &self.role {
+            Role::Owner(owner) => owner.book.len(),
+            _ => 0,
+        }
+    }
+
+    /// Whom to ask about ids of this shard.
+    pub fn route(&self, context: &mut Context) -> Option<Life> {
+        if self.owned() {
+            return Some(context.me.clone());
+        }
+        let hinted = self.hint.as_ref().and_then(|hint| hint.owner.clone());
+        if let Some(owner) = hinted
+            && matches!(context.vital(&owner), Vital::Able | Vital::Leaving)
+        {
+            return Some(owner);
+        }
+        context.first(self.number)
+    }
+
+    /// Hears who owns the shard; says whether that is news.
+    pub fn hear(&mut self, epoch: u64, owner: Option<Life>) -> bool {
+        let news = self.hint.as_ref().is_none_or(|hint| {
+            epoch > hint.epoch || (epoch == hint.epoch && hint.owner.is_some() && owner.is_none())
+        });
+        if news {
+            self.hint = Some(Hint { epoch, owner });
+        }
+        news
+    }
+
+    /// The hosts have changed: check soon.
+    pub const fn viewed(&mut self, now: Time) {
+        self.check = now;
+    }
+
+    /// The log names this host.
+    pub fn look(&mut self, context: &mut Context) {
+        if matches!(self.role, Role::Idle) {
+            self.read(context);
+        }
+    }
+
+    /// A claim for an id of this shard.
+    pub fn claim(&mut self, context: &mut Context, from: life::Key, claim: &wire::Claim) {
+        let waiter = Waiter {
+            claim: Claim {
+                life: from,
+                nonce: claim.nonce,
+            },
+            id: record::whole(claim.id_high, claim.id_low),
+            body: claim.body,
+            request: claim.request,
+            until: context.now + Duration::from_millis(claim.remaining_ms),
+        };
+        match &mut self.role {
+            Role::Owner(owner) => owner.claim(context, waiter),
+            Role::Idle => self.redirect(context, &waiter),
+            Role::Reading(_) => {}
+        }
+    }
+
+    /// A claimant gives up a grant.
+    pub fn release(&mut self, context: &mut Context, from: life::Key, release: &wire::Release) {
+        if let Role::Owner(owner) = &mut self.role {
+            let claim = Claim {
+                life: from,
+                nonce: release.nonce,
+            };
+            let id = record::whole(release.id_high, release.id_low);
+            owner.release(context, claim, id);
+        }
+    }
+
+    /// A holder answers what became of its claim.
+    pub fn told(&mut self, context: &mut Context, from: life::Key, told: &wire::Told) {
+        if let Role::Owner(owner) = &mut self.role {
+            let claim = Claim {
+                life: from,
+                nonce: told.nonce,
+            };
+            let id = record::whole(told.id_high, told.id_low);
+            owner.told(context, claim, id, told.fate());
+        }
+    }
+
+    /// A holder's request has ended.
+    pub fn end(&mut self, context: &mut Context, record: Record) {
+        if let Role::Owner(owner) = &mut self.role {
+            owner.end(context, record);
+        }
+    }
+
+    /// The owner asks this host, its successor, to keep records.
+    pub fn witness(&mut self, context: &mut Context, from: &Life, witness: &wire::Witness) {
+        let superseded = self
+            .hint
+            .as_ref()
+            .is_some_and(|hint| hint.epoch > witness.epoch);
+        let kept = !superseded && !self.owned();
+        if kept {
+            let packed = witness.records.clone().unwrap_or_default();
+            let records = record::unpack(&packed, &mut context.arena);
+            self.keep(from, witness, records);
+        }
+        let records = witness.records.as_ref();
+        let count = records.map_or(0, |records| records.records.len());
+        if count > 0 {
+            let answer = wire::Witnessed {
+                shard: self.number,
+                epoch: witness.epoch,
+                first: witness.first,
+                count: u32::try_from(count).unwrap_or(u32::MAX),
+                kept,
+            };
+            context.send(from, Body::Witnessed(answer));
+        }
+    }
+
+    /// The successor has answered.
+    pub fn witnessed(&mut self, context: &mut Context, from: &Life, answer: &wire::Witnessed) {
+        if let Role::Owner(owner) = &mut self.role {
+            owner.witnessed(context, from, answer);
+        }
+    }
+
+    /// The key-value service has answered a call.
+    pub fn kv(&mut self, context: &mut Context, token: kv::Token, outcome: kv::Outcome) {
+        match &mut self.role {
+            Role::Idle => {}
+            Role::Reading(reading) => {
+                if reading.token == Some(token) && reading.take(context, self.number, outcome) {
+                    self.decide(context);
+                }
+            }
+            Role::Owner(owner) => {
+                if owner.fold.token() == Some(token) {
+                    owner.fold.answered(context, self.number, outcome);
+                } else if owner.flight.as_ref().and_then(|flight| flight.token) == Some(token) {
+                    let step = owner.written(context, outcome);
+                    self.step(context, step);
+                }
+            }
+        }
+    }
+
+    /// Does what is due; says when to come back.
+    pub fn pump(&mut self, context: &mut Context) -> Option<Time> {
+        match &mut self.role {
+            Role::Idle => Some(self.pump_idle(context)),
+            Role::Reading(reading) => {
+                if reading.again <= context.now {
+                    reading.ask(context, self.number);
+                }
+                Some(reading.again)
+            }
+            Role::Owner(_) => self.pump_owner(context),
+        }
+    }
+
+    fn pump_owner(&mut self, context: &mut Context) -> Option<Time> {
+        let Role::Owner(owner) = &mut self.role else {
+            return None;
+        };
+        let mut wake = owner.pump_closing(context);
+        wake = earliest(wake, owner.fold.pump(context, self.number));
+        wake = earliest(wake, owner.pump_commit(context));
+        wake = earliest(wake, owner.pump_witness(context));
+        wake = earliest(wake, owner.pump_refusals(context));
+        wake = earliest(wake, owner.pump_questions(context));
+        let sweep = (context.settings.retention / 32).max(Duration::from_secs(1));
+        if context.now >= self.swept + sweep {
+            self.swept = context.now;
+            owner.book.expire(fold::expiry(context));
+        }
+        earliest(wake, Some(self.swept + sweep))
+    }
+
+    fn pump_idle(&mut self, context: &mut Context) -> Time {
+        if context.now < self.check {
+            return self.check;
+        }
+        self.check = context.now + CHECK;
+        if context.view.peers.is_empty() {
+            return self.check;
+        }
+        let concerned = context.first(self.number).as_ref() == Some(&context.me);
+        let Some((header, when)) = self.seen.clone() else {
+            if concerned && !context.leaving {
+                self.read(context);
+            }
+            return self.check;
+        };
+        match takeover::choose(context, self.number, header.as_ref()) {
+            Choice::Own | Choice::Take { .. } => self.read(context),
+            Choice::Leave(life) if concerned => self.nudge(context, header.as_ref(), &life),
+            _ if concerned && context.now >= when + REREAD => {
+                self.seen = None;
+            }
+            _ => {}
+        }
+        self.check
+    }
+
+    /// Tells a host that it should act, unless it is the owner already.
+    fn nudge(&self, context: &mut Context, header: Option<&Header>, life: &Life) {
+        let owner = header.and_then(|header| header.owner.as_ref());
+        let hinted = self.hint.as_ref().and_then(|hint| hint.owner.as_ref());
+        if owner != Some(life) && hinted != Some(life) {
+            let look = wire::Look { shard: self.number };
+            context.send(life, Body::Look(look));
+        }
+    }
+
+    fn read(&mut self, context: &mut Context) {
+        let mut reading = Box::<Reading>::default();
+        reading.ask(context, self.number);
+        self.role = Role::Reading(reading);
+    }
+
+    /// The log is read: own the shard, or leave it to another host.
+    fn decide(&mut self, context: &mut Context) {
+        let Role::Reading(reading) = std::mem::replace(&mut self.role, Role::Idle) else {
+            return;
+        };
+        let log = Log::new(context, &reading);
+        self.check = context.now + CHECK;
+        self.seen = Some((log.header.clone(), context.now));
+        if let Some(header) = &log.header {
+            self.hear(header.epoch, header.owner.clone());
+        }
+        match takeover::choose(context, self.number, log.header.as_ref()) {
+            Choice::Own => {
+                if let Some(owner) = log.own(context, self.number) {
+                    self.copy = None;
+                    self.role = Role::Owner(Box::new(owner));
+                }
+            }
+            Choice::Take { gap } => {
+                let copy = self.copy.take();
+                let owner = log.take(context, self.number, gap, copy);
+                self.role = Role::Owner(Box::new(owner));
+            }
+            Choice::Leave(life) => {
+                let header = log.header.as_ref();
+                if context.first(self.number).as_ref() == Some(&context.me) {
+                    self.nudge(context, header, &life);
+                }
+            }
+            Choice::Wait => {}
+        }
+    }
+
+    fn step(&mut self, context: &mut Context, step: Step) {
+        match step {
+            Step::Stay => {}
+            Step::HandedOver => self.hand_over(context),
+            Step::Superseded => {
+                context.note(Level::Warn, "shard-lost", self.number);
+                if let Role::Owner(mut owner) = std::mem::replace(&mut self.role, Role::Idle) {
+                    owner.dismiss(context, owner.header.epoch, None);
+                }
+                self.read(context);
+            }
+        }
+    }
+
+    fn hand_over(&mut self, context: &mut Context) {
+        let Role::Owner(mut owner) = std::mem::replace(&mut self.role, Role::Idle) else {
+            return;
+        };
+        let header = owner.header.clone();
+        owner.dismiss(context, header.epoch, header.owner.as_ref());
+        context.note(Level::Info, "shard-handed-over", self.number);
+        self.hear(header.epoch, header.owner.clone());
+        if let Some(to) = &header.owner {
+            context.send(to, Body::Look(wire::Look { shard: self.number }));
+        }
+        self.check = context.now + CHECK;
+        self.seen = Some((Some(header), context.now));
+    }
+
+    fn keep(&mut self, from: &Life, witness: &wire::Witness, records: Vec<Record>) {
+        let current = self.copy.as_ref().is_some_and(|copy| {
+            copy.epoch > witness.epoch || (copy.epoch == witness.epoch && copy.owner == *from)
+        });
+        if !current {
+            self.copy = Some(Copy {
+                owner: from.clone(),
+                epoch: witness.epoch,
+                records: std::collections::BTreeMap::new(),
+            });
+        }
+        if let Some(copy) = &mut self.copy
+            && copy.epoch == witness.epoch
+        {
+            copy.keep(witness, records);
+        }
+    }
+
+    fn redirect(&mut self, context: &mut Context, waiter: &Waiter) {
+        let owner = self.hint.as_ref().and_then(|hint| hint.owner.as_ref());
+        let elsewhere = Verdict::Elsewhere(wire::Elsewhere {
+            shard: self.number,
+            epoch: self.hint.as_ref().map_or(0, |hint| hint.epoch),
+            owner: owner.map(Life::write),
+        });
+        if self.seen.is_none() {
+            self.check = context.now;
+        }
+        context.count(Counter::FrameDropped);
+        crate::owner::answer(context, waiter.claim, waiter.id, elsewhere);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/takeover.rs
@@ -0,0 +1,335 @@
+//! Reading a shard's log, and deciding whether to own the shard.
+
+use crate::{
+    book::{Book, State},
+    context::{Context, Vital},
+    fold::{self, Fold},
+    life::Life,
+    log::{self, Chapter, Header, Segment},
+    owner::{Owner, Pending},
+    record::{self, RECORD_BYTES, Record},
+    witness::Copy,
+};
+use mulberryrack_core::{Time, kv, note::Level};
+use mulberryrack_wire::ledger as wire;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+/// Entries asked for with one call.
+const PAGE: u32 = 32;
+
+/// What a host does about a shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// The log names this life as the owner.
+    Own,
+    /// Take over; with a quarantine where records may be missing.
+    Take {
+        /// Whether records may be missing.
+        gap: bool,
+    },
+    /// Another life should act.
+    Leave(Life),
+    /// Nobody can act yet.
+    Wait,
+}
+
+/// A log that is being read: first the ring, then the segments.
+#[derive(Debug, Default)]
+pub struct Reading {
+    /// The call under way.
+    pub token: Option<kv::Token>,
+    /// When the call is given up, or made again.
+    pub again: Time,
+    ring_done: bool,
+    after: Option<Arc<str>>,
+    ring: Vec<kv::Entry>,
+    segments: Vec<kv::Entry>,
+}
+
+impl Reading {
+    /// Makes the next call.
+    pub fn ask(&mut self, context: &mut Context, shard: u32) {
+        let prefix = if self.ring_done {
+            log::segment_prefix(context, shard)
+        } else {
+            log::ring_prefix(context, shard)
+        };
+        let op = kv::Op::List {
+            prefix,
+            after: self.after.clone(),
+            limit: PAGE,
+        };
+        self.token = Some(context.call(shard, op));
+        self.again = context.now + context.settings.call_timeout;
+    }
+
+    /// Takes an answer; says whether the log is complete.
+    pub fn take(&mut self, context: &mut Context, shard: u32, outcome: kv::Outcome) -> bool {
+        let Ok(kv::Reply::Entries { entries, more, .. }) = outcome else {
+            self.token = None;
+            let pause = context.settings.call_retry;
+            self.again = context.now + context.jitter(pause);
+            return false;
+        };
+        self.after = entries.last().map(|entry| entry.key.clone());
+        if self.ring_done {
+            self.segments.extend(entries);
+        } else {
+            self.ring.extend(entries);
+        }
+        if !more && self.ring_done {
+            return true;
+        }
+        if !more {
+            self.ring_done = true;
+            self.after = None;
+        }
+        self.ask(context, shard);
+        false
+    }
+}
+
+/// A log that was read.
+#[derive(Debug)]
+pub struct Log {
+    /// The newest entry; `None` for an empty log.
+    pub header: Option<Header>,
+    /// Records in this epoch, up to and with the newest entry.
+    pub next_record: u64,
+    positions: Vec<Option<kv::Revision>>,
+    book: Book,
+    fold: Fold,
+}
+
+impl Log {
+    /// Puts together what was read.
+    pub fn new(context: &mut Context, reading: &Reading) -> Self {
+        let mut positions = vec![None; context.settings.positions as usize];
+        let mut entries: Vec<(Header, wire::Records)> = Vec::new();
+        for entry in &reading.ring {
+            if let Some((header, records)) = log::read_entry(&entry.value) {
+                let position = header.sequence % u64::from(context.settings.positions);
+                positions[usize::try_from(position).expect("a small number")] =
+                    Some(entry.revision);
+                entries.push((header, records));
+            }
+        }
+        entries.sort_by_key(|(header, _)| header.sequence);
+        let newest = entries.last();
+        let header = newest.map(|(header, _)| header.clone());
+        let next_record = newest.map_or(0, |(header, records)| {
+            header.first_record + records.records.len() as u64
+        });
+        let (book, fold) = replay(context, &entries, &reading.segments);
+        Self {
+            header,
+            next_record,
+            positions,
+            book,
+            fold,
+        }
+    }
+
+    /// An owner that the log already names.
+    pub fn own(self, context: &Context, shard: u32) -> Option<Owner> {
+        let mut owner = Owner::new(
+            context,
+            shard,
+            self.header?,
+            self.positions,
+            self.book,
+            self.fold,
+        );
+        owner.committed = self.next_record;
+        owner.established = true;
+        Some(owner)
+    }
+
+    /// An owner that writes a takeover entry, with the records that this host has kept
+    /// for the one before.
+    pub fn take(
+        mut self,
+        context: &mut Context,
+        shard: u32,
+        gap: bool,
+        copy: Option<Copy>,
+    ) -> Owner {
+        let kept = self.kept(copy);
+        let stamp_ms = context
+            .wall_ms()
+            .max(self.header.as_ref().map_or(0, |header| header.stamp_ms));
+        for record in &kept {
+            self.book.apply(record, stamp_ms, State::Held);
+        }
+        let most = (context.settings.entry_bytes as usize / RECORD_BYTES).max(1);
+        let count = kept.len().min(most);
+        let header = takeover(
+            context,
+            shard,
+            self.header.as_ref(),
+            gap,
+            count < kept.len(),
+        );
+        let before = self.header.unwrap_or_else(|| Header {
+            sequence: 0,
+            epoch: 0,
+            ..header.clone()
+        });
+        let mut owner = Owner::new(context, shard, before, self.positions, self.book, self.fold);
+        owner.stream = kept
+            .iter()
+            .map(|record| Pending {
+                record: *record,
+                due: context.now,
+                durable: true,
+            })
+            .collect();
+        if gap {
+            context.note(Level::Warn, "shard-quarantined", shard);
+        }
+        owner.launch(context, header, kept[..count].to_vec(), count);
+        owner
+    }
+
+    /// Records that the former owner may have granted on and that are not in the log.
+    fn kept(&self, copy: Option<Copy>) -> Vec<Record> {
+        let Some(header) = &self.header else {
+            return Vec::new();
+        };
+        copy.filter(|copy| copy.epoch == header.epoch)
+            .map(|copy| {
+                copy.records
+                    .range(self.next_record..)
+                    .map(|(_, record)| *record)
+                    .collect()
+            })
+            .unwrap_or_default()
+    }
+}
+
+/// What this host should do about a shard whose newest entry is `header`.
+pub fn choose(context: &mut Context, shard: u32, header: Option<&Header>) -> Choice {
+    let first = context.first(shard);
+    let mine = first.as_ref() == Some(&context.me);
+    let take = |gap| match &first {
+        _ if mine => Choice::Take { gap },
+        Some(life) => Choice::Leave(life.clone()),
+        None => Choice::Wait,
+    };
+    let Some(header) = header else {
+        return take(false);
+    };
+    let Some(owner) = &header.owner else {
+        return take(false);
+    };
+    if *owner == context.me {
+        return Choice::Own;
+    }
+    match context.vital(owner) {
+        Vital::Able | Vital::Leaving => return Choice::Leave(owner.clone()),
+        Vital::Dead | Vital::Gone if !header.witness => return take(false),
+        Vital::Dead | Vital::Gone => {}
+    }
+    let owner_gone = context.vital(owner) == Vital::Gone;
+    let Some(successor) = &header.successor else {
+        return if owner_gone { take(true) } else { Choice::Wait };
+    };
+    if *successor == context.me {
+        return Choice::Take { gap: false };
+    }
+    match context.vital(successor) {
+        Vital::Able | Vital::Leaving => Choice::Leave(successor.clone()),
+        Vital::Gone if owner_gone => take(true),
+        Vital::Dead | Vital::Gone => Choice::Wait,
+    }
+}
+
+/// The takeover entry. While records of the former owner are left for later entries, no
+/// successor is named: it would not have them.
+fn takeover(
+    context: &mut Context,
+    shard: u32,
+    before: Option<&Header>,
+    gap: bool,
+    unfinished: bool,
+) -> Header {
+    let horizon = u64::try_from(context.settings.resend_horizon.as_millis()).unwrap_or(u64::MAX);
+    let until = if gap { context.wall_ms() + horizon } else { 0 };
+    let me = context.me.clone();
+    let successor = (context.settings.witness && !unfinished)
+        .then(|| context.successor(shard, &me))
+        .flatten();
+    Header {
+        sequence: before.map_or(0, |header| header.sequence) + 1,
+        epoch: before.map_or(0, |header| header.epoch) + 1,
+        nonce: context.nonce(),
+        stamp_ms: context
+            .wall_ms()
+            .max(before.map_or(0, |header| header.stamp_ms)),
+        owner: Some(me.clone()),
+        writer: me,
+        witness: context.settings.witness && (unfinished || successor.is_some()),
+        successor,
+        quarantine_ms: until.max(before.map_or(0, |header| header.quarantine_ms)),
+        first_record: 0,
+    }
+}
+
+/// Applies segments, then the entries that they do not cover.
+fn replay(
+    context: &mut Context,
+    entries: &[(Header, wire::Records)],
+    segments: &[kv::Entry],
+) -> (Book, Fold) {
+    let expired = fold::expiry(context);
+    let mut chapters: BTreeMap<u64, Chapter> = BTreeMap::new();
+    let mut known: VecDeque<Segment> = VecDeque::new();
+    for entry in segments {
+        let Some(segment) = log::read_segment(&entry.value) else {
+            continue;
+        };
+        known.push_back(Segment {
+            key: entry.key.clone(),
+            revision: entry.revision,
+            last: segment.last,
+            stamp_ms: segment.stamp_ms,
+        });
+        // Sequences inside a segment are not needed: order is enough.
+        for (sequence, stamped) in (segment.first..).zip(segment.entries) {
+            chapters.entry(sequence).or_insert(Chapter {
+                sequence,
+                stamp_ms: stamped.stamp_ms,
+                records: stamped.records.unwrap_or_default(),
+            });
+        }
+    }
+    let newest = entries.last().map_or(0, |(header, _)| header.sequence);
+    let covered = known
+        .iter()
+        .map(|segment| segment.last)
+        .max()
+        .unwrap_or(0)
+        .max(newest.saturating_sub(u64::from(context.settings.positions)));
+    let tail: VecDeque<Chapter> = entries
+        .iter()
+        .filter(|(header, _)| header.sequence > covered)
+        .map(|(header, records)| Chapter {
+            sequence: header.sequence,
+            stamp_ms: header.stamp_ms,
+            records: records.clone(),
+        })
+        .collect();
+    let mut book = Book::default();
+    for chapter in chapters.values().chain(&tail) {
+        if chapter.stamp_ms < expired {
+            continue;
+        }
+        for record in record::unpack(&chapter.records, &mut context.arena) {
+            book.apply(&record, chapter.stamp_ms, State::Held);
+        }
+    }
+    (book, Fold::new(covered, tail, known))
+}
--- /dev/null
+++ b/crates/ledger/src/witness.rs
@@ -0,0 +1,201 @@
+//! Copies of records with the successor, for when the service does not take them.
+
+use crate::{
+    context::{Context, Vital},
+    life::Life,
+    owner::Owner,
+    record::{self, Kind, RECORD_BYTES, Record},
+};
+use mulberryrack_core::{Time, note::Counter};
+use mulberryrack_wire::ledger::{Witness, Witnessed, frame::Body};
+use std::{collections::BTreeMap, time::Duration};
+
+/// The owner's side: one batch under way at a time.
+#[derive(Debug, Default)]
+pub struct Courier {
+    batch: Option<Batch>,
+    /// Whether the successor keeps records that it may drop once they are in the log.
+    owing: bool,
+}
+
+/// Records under way to the successor.
+#[derive(Debug)]
+struct Batch {
+    first: u64,
+    count: usize,
+    again: Time,
+    pause: Duration,
+}
+
+/// The successor's side: records of one epoch of an owner.
+#[derive(Debug)]
+pub struct Copy {
+    /// The owner.
+    pub owner: Life,
+    /// Its epoch.
+    pub epoch: u64,
+    /// By number.
+    pub records: BTreeMap<u64, Record>,
+}
+
+impl Copy {
+    /// Keeps the records of a batch and drops those that are in the log.
+    pub fn keep(&mut self, witness: &Witness, records: Vec<Record>) {
+        self.records = self.records.split_off(&witness.committed);
+        self.records.extend(
+            (witness.first..)
+                .zip(records)
+                .filter(|(number, _)| *number >= witness.committed),
+        );
+    }
+}
+
+impl Owner {
+    /// Copies to the successor what has waited for the service too long.
+    pub fn pump_witness(&mut self, context: &mut Context) -> Option<Time> {
+        if !self.established || !self.header.witness || self.reassigning() {
+            return None;
+        }
+        let successor = self.header.successor.clone()?;
+        if matches!(context.vital(&successor), Vital::Dead | Vital::Gone) {
+            return None;
+        }
+        self.drop_obsolete();
+        if self.batch_due(context) {
+            let batch = self.courier.batch.as_ref()?;
+            let (first, count) = (batch.first, batch.count);
+            self.send_copy(context, &successor, first, count);
+            return self.courier.batch.as_ref().map(|batch| batch.again);
+        }
+        if let Some(batch) = &self.courier.batch {
+            return Some(batch.again);
+        }
+        let Some(late) = self.late(context) else {
+            self.clear_copy(context, &successor);
+            return None;
+        };
+        if late > context.now {
+            return Some(late);
+        }
+        self.copy(context, &successor)
+    }
+
+    /// The successor has answered.
+    pub fn witnessed(&mut self, context: &mut Context, from: &Life, answer: &Witnessed) {
+        if answer.epoch != self.header.epoch || self.header.successor.as_ref() != Some(from) {
+            return;
+        }
+        // The next successor would not have these records.
+        if self.reassigning() {
+            return;
+        }
+        let matches = self.courier.batch.as_ref().is_some_and(|batch| {
+            batch.first == answer.first && batch.count == answer.count as usize
+        });
+        if !matches || !answer.kept {
+            return;
+        }
+        self.courier.batch = None;
+        self.courier.owing = true;
+        let start = answer.first.saturating_sub(self.committed);
+        let start = usize::try_from(start).unwrap_or(usize::MAX);
+        let end = (answer.first + u64::from(answer.count)).saturating_sub(self.committed);
+        let end = usize::try_from(end)
+            .unwrap_or(usize::MAX)
+            .min(self.stream.len());
+        for index in start..end {
+            if std::mem::replace(&mut self.stream[index].durable, true) {
+                continue;
+            }
+            let record = self.stream[index].record;
+            if record.kind == Kind::Intent {
+                context.count(Counter::IntentWitnessed);
+            }
+            self.harden(context, &record);
+        }
+    }
+
+    /// Forgets a batch whose records have all come into the log meanwhile.
+    fn drop_obsolete(&mut self) {
+        let committed = self.committed;
+        if let Some(batch) = &self.courier.batch
+            && batch.first + batch.count as u64 <= committed
+        {
+            self.courier.batch = None;
+            self.courier.owing = true;
+        }
+    }
+
+    fn batch_due(&self, context: &Context) -> bool {
+        self.courier
+            .batch
+            .as_ref()
+            .is_some_and(|batch| batch.again <= context.now)
+    }
+
+    /// When the first record that is not durable has waited too long.
+    fn late(&self, context: &Context) -> Option<Time> {
+        self.stream
+            .iter()
+            .find(|pending| !pending.durable)
+            .map(|pending| pending.due + context.settings.witness_after)
+    }
+
+    fn copy(&mut self, context: &mut Context, successor: &Life) -> Option<Time> {
+        let start = self.stream.iter().position(|pending| !pending.durable)?;
+        let most = (context.settings.entry_bytes as usize / RECORD_BYTES).max(1);
+        let count = (self.stream.len() - start).min(most);
+        self.courier.batch = Some(Batch {
+            first: self.committed + start as u64,
+            count,
+            again: context.now,
+            pause: context.settings.retransmit / 2,
+        });
+        self.expose(context, start + count);
+        let first = self.committed + start as u64;
+        self.send_copy(context, successor, first, count);
+        self.courier.batch.as_ref().map(|batch| batch.again)
+    }
+
+    /// Sends the batch; records of it that are in the log by now are left out.
+    fn send_copy(&mut self, context: &mut Context, successor: &Life, first: u64, count: usize) {
+        let skip = usize::try_from(first.saturating_sub(self.committed)).unwrap_or(usize::MAX);
+        let gone = usize::try_from(self.committed.saturating_sub(first)).unwrap_or(usize::MAX);
+        let records = self
+            .stream
+            .iter()
+            .skip(skip)
+            .take(count.saturating_sub(gone))
+            .map(|pending| &pending.record);
+        let witness = Witness {
+            shard: self.shard,
+            epoch: self.header.epoch,
+            first: first + gone as u64,
+            committed: self.committed,
+            records: Some(record::pack(records, &context.arena)),
+        };
+        if let Some(batch) = &mut self.courier.batch {
+            batch.first = witness.first;
+            batch.count = count - gone;
+            batch.pause = (batch.pause * 2).min(context.settings.retransmit * 8);
+            batch.again = context.now + batch.pause;
+        }
+        context.send(successor, Body::Witness(witness));
+    }
+
+    /// Lets the successor drop its copies once all records are in the log.
+    fn clear_copy(&mut self, context: &mut Context, successor: &Life) {
+        if !self.courier.owing || !self.stream.is_empty() {
+            return;
+        }
+        self.courier.owing = false;
+        let witness = Witness {
+            shard: self.shard,
+            epoch: self.header.epoch,
+            first: self.committed,
+            committed: self.committed,
+            records: None,
+        };
+        context.send(successor, Body::Witness(witness));
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/common/mod.rs
@@ -0,0 +1,527 @@
+//! A small driver: a few ledgers, the stand-in of the key-value service, frames handed
+//! over directly after a real encode and decode, faults under a seed. Virtual time.
+
+#![allow(dead_code)]
+
+use mulberryrack_core::{
+    Incarnation, Name, Time,
+    claim::{End, Verdict},
+    kv::{Fault, Outcome, Token},
+    note::Counter,
+    request,
+    view::{Peer, Standing, View},
+};
+use mulberryrack_ledger::{Input, Ledger, Output, Settings};
+use mulberryrack_standin::kv::Store;
+use mulberryrack_wire::ledger::Frame;
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Wall clock of the driver's start in milliseconds.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// How the wires and the service behave.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    /// Share of frames that are lost.
+    pub loss: f64,
+    /// Share of frames that arrive twice.
+    pub double: f64,
+    /// Longest delay of a frame.
+    pub delay: Duration,
+    /// Longest time that the service takes.
+    pub service: Duration,
+    /// Share of service calls whose answer is lost after they took effect.
+    pub lost_answers: f64,
+    /// Share of lost calls that take effect only much later.
+    pub late: f64,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            double: 0.0,
+            delay: Duration::from_millis(1),
+            service: Duration::from_millis(3),
+            lost_answers: 0.0,
+            late: 0.0,
+        }
+    }
+}
+
+/// What the router of a host would know of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Known {
+    Waiting,
+    Running,
+    Kept,
+    Forgotten,
+    Doubtful,
+    Released,
+    Answered,
+}
+
+/// One life of a host.
+pub struct Host {
+    pub name: Name,
+    pub incarnation: Incarnation,
+    pub started: Time,
+    pub ledger: Ledger,
+    pub paused: bool,
+    pub left: bool,
+    pub requests: BTreeMap<request::Key, Known>,
+    /// What arrived while it was paused.
+    pending: Vec<Input>,
+}
+
+enum Event {
+    Input {
+        to: Name,
+        incarnation: Incarnation,
+        input: Input,
+    },
+    Call {
+        from: Name,
+        incarnation: Incarnation,
+        token: Token,
+        op: mulberryrack_core::kv::Op,
+        answer: bool,
+    },
+}
+
+/// A verdict with where and when it was given.
+#[derive(Clone, Debug)]
+pub struct Given {
+    pub host: Name,
+    pub incarnation: Incarnation,
+    pub request: request::Key,
+    pub verdict: Verdict,
+    pub at: Time,
+}
+
+/// One send of a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct Send {
+    pub id: u128,
+    pub body: u128,
+    pub at: Time,
+}
+
+pub struct World {
+    pub now: Time,
+    pub settings: Settings,
+    pub faults: Faults,
+    pub store: Store,
+    pub down: bool,
+    pub hosts: BTreeMap<Name, Host>,
+    /// Former lives that may still run.
+    pub standing: BTreeMap<Name, (Incarnation, Standing)>,
+    pub cut: BTreeSet<(Name, Name)>,
+    pub given: Vec<Given>,
+    pub sends: BTreeMap<(Name, Incarnation, request::Key), Send>,
+    pub counts: BTreeMap<Counter, u64>,
+    pub rng: ChaCha8Rng,
+    events: BTreeMap<(Time, u64), Event>,
+    number: u64,
+    requests: u64,
+}
+
+impl World {
+    pub fn new(hosts: usize, seed: u64, settings: Settings, faults: Faults) -> Self {
+        let mut world = Self {
+            now: Time::from_millis(1_000),
+            settings,
+            faults,
+            store: Store::default(),
+            down: false,
+            hosts: BTreeMap::new(),
+            standing: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            given: Vec::new(),
+            sends: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            number: 0,
+            requests: 0,
+        };
+        for index in 0..hosts {
+            world.start(&format!("host-{index}"));
+        }
+        world.spread();
+        world
+    }
+
+    /// Starts a life of a host; the one before, if any, is dead.
+    pub fn start(&mut self, name: &str) {
+        let name = Name::from(name);
+        let incarnation = Incarnation(EPOCH_MS + self.now.as_micros() / 1_000);
+        let seed = self.rng.random();
+        let ledger = Ledger::new(
+            self.settings.clone(),
+            name.clone(),
+            incarnation,
+            seed,
+            Time::ZERO,
+        );
+        let host = Host {
+            name: name.clone(),
+            incarnation,
+            started: self.now,
+            ledger,
+            paused: false,
+            left: false,
+            requests: BTreeMap::new(),
+            pending: Vec::new(),
+        };
+        self.standing
+            .insert(name.clone(), (incarnation, Standing::Alive));
+        self.hosts.insert(name, host);
+    }
+
+    /// Ends a life at once; the others hear of it by [`World::spread`].
+    pub fn crash(&mut self, name: &str, standing: Standing) {
+        self.hosts.remove(name);
+        self.stand(name, standing);
+    }
+
+    pub fn stand(&mut self, name: &str, standing: Standing) {
+        if let Some(entry) = self.standing.get_mut(name) {
+            entry.1 = standing;
+        }
+    }
+
+    /// Gives every host the current view.
+    pub fn spread(&mut self) {
+        for name in self.names() {
+            self.spread_to(&name);
+        }
+    }
+
+    pub fn spread_to(&mut self, name: &str) {
+        let peers = self
+            .standing
+            .iter()
+            .enumerate()
+            .map(|(index, (name, (incarnation, standing)))| Peer {
+                name: name.clone(),
+                incarnation: *incarnation,
+                data_centre: format!("hall-{}", index % 3).into(),
+                address: Name::from("127.0.0.1:1"),
+                peer_address: Name::from("127.0.0.1:2"),
+                standing: *standing,
+            })
+            .collect();
+        let view = View {
+            me: Name::from(name),
+            peers,
+        };
+        self.input(name, Input::View(Arc::new(view)));
+    }
+
+    pub fn names(&self) -> Vec<Name> {
+        self.hosts.keys().cloned().collect()
+    }
+
+    pub fn pause(&mut self, name: &str) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.paused = true;
+        }
+    }
+
+    pub fn resume(&mut self, name: &str) {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        host.paused = false;
+        let pending = std::mem::take(&mut host.pending);
+        for input in pending {
+            self.input(name, input);
+        }
+        self.input(name, Input::Wake);
+    }
+
+    /// A caller's send arrives at a host.
+    pub fn claim(&mut self, name: &str, id: u128, body: u128, patience: Duration) -> request::Key {
+        self.requests += 1;
+        let request = request::Key(self.requests);
+        let Some(host) = self.hosts.get_mut(name) else {
+            return request;
+        };
+        host.requests.insert(request, Known::Waiting);
+        let until = Time::from_micros(self.now.since(host.started).as_micros() as u64) + patience;
+        let send = Send {
+            id,
+            body,
+            at: self.now,
+        };
+        self.sends
+            .insert((host.name.clone(), host.incarnation, request), send);
+        self.input(
+            name,
+            Input::Claim {
+                request,
+                id,
+                body,
+                until,
+            },
+        );
+        request
+    }
+
+    pub fn done(&mut self, name: &str, request: request::Key, end: End) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            let known = match end {
+                End::NotSent => Known::Released,
+                End::Ran => Known::Kept,
+                End::Forgotten => Known::Forgotten,
+                End::Unknown => Known::Doubtful,
+            };
+            host.requests.insert(request, known);
+            self.input(name, Input::Done { request, end });
+        }
+    }
+
+    /// The verdict that a request got.
+    pub fn verdict(&self, request: request::Key) -> Option<&Verdict> {
+        self.given
+            .iter()
+            .find(|given| given.request == request)
+            .map(|given| &given.verdict)
+    }
+
+    pub fn count(&self, counter: Counter) -> u64 {
+        self.counts.get(&counter).copied().unwrap_or(0)
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        self.run_until(self.now + span);
+    }
+
+    pub fn run_until(&mut self, end: Time) {
+        loop {
+            let event = self.events.keys().next().map(|(time, _)| *time);
+            let wake = self.next_wake();
+            let wake_at = wake.as_ref().map(|(time, _)| *time);
+            let Some(next) = mulberryrack_core::earliest(event, wake_at) else {
+                break;
+            };
+            if next > end {
+                break;
+            }
+            self.now = self.now.max(next);
+            if event.is_some_and(|event| event <= next) {
+                let (_, event) = self.events.pop_first().expect("an event");
+                self.carry(event);
+            } else if let Some((_, name)) = wake {
+                self.input(&name, Input::Wake);
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn next_wake(&self) -> Option<(Time, Name)> {
+        self.hosts
+            .values()
+            .filter(|host| !host.paused)
+            .filter_map(|host| {
+                let wake = host.ledger.next_wake()?;
+                let span = wake.since(Time::ZERO);
+                Some((host.started + span, host.name.clone()))
+            })
+            .min()
+    }
+
+    pub fn input(&mut self, name: &str, input: Input) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        if host.paused {
+            host.pending.push(input);
+            return;
+        }
+        let mut out = Vec::new();
+        let local = Time::ZERO + now.since(host.started);
+        host.ledger.handle(local, input, &mut out);
+        let (name, incarnation) = (host.name.clone(), host.incarnation);
+        for output in out {
+            self.output(&name, incarnation, output);
+        }
+    }
+
+    fn output(&mut self, from: &Name, life: Incarnation, output: Output) {
+        match output {
+            Output::Frame {
+                to,
+                incarnation,
+                frame,
+            } => self.post(from, life, to, incarnation, &frame),
+            Output::Kv { token, op } => self.dial(from, life, token, op),
+            Output::Verdict { request, verdict } => self.give(from, life, request, verdict),
+            Output::Left => {
+                if let Some(host) = self.hosts.get_mut(from) {
+                    host.left = true;
+                }
+            }
+            Output::Note(_) => {}
+            Output::Count(counter) => *self.counts.entry(counter).or_default() += 1,
+        }
+    }
+
+    fn give(&mut self, from: &Name, life: Incarnation, request: request::Key, verdict: Verdict) {
+        if let Some(host) = self.hosts.get_mut(from) {
+            let known = if verdict == Verdict::Granted {
+                Known::Running
+            } else {
+                Known::Answered
+            };
+            host.requests.insert(request, known);
+        }
+        self.given.push(Given {
+            host: from.clone(),
+            incarnation: life,
+            request,
+            verdict,
+            at: self.now,
+        });
+    }
+
+    fn post(
+        &mut self,
+        from: &Name,
+        life: Incarnation,
+        to: Name,
+        incarnation: Option<Incarnation>,
+        frame: &Frame,
+    ) {
+        let copies = if self.chance(self.faults.double) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            if self.chance(self.faults.loss) || self.cut.contains(&(from.clone(), to.clone())) {
+                continue;
+            }
+            let bytes = frame.encode_to_vec();
+            let frame = Frame::decode(bytes.as_slice()).expect("what was encoded");
+            let at = self.now + self.some(self.faults.delay);
+            let input = Input::Frame {
+                from: from.clone(),
+                incarnation: life,
+                frame,
+            };
+            let target = incarnation.unwrap_or(Incarnation(0));
+            self.at(
+                at,
+                Event::Input {
+                    to: to.clone(),
+                    incarnation: target,
+                    input,
+                },
+            );
+        }
+    }
+
+    fn dial(
+        &mut self,
+        from: &Name,
+        life: Incarnation,
+        token: Token,
+        op: mulberryrack_core::kv::Op,
+    ) {
+        if self.down {
+            let fault = if self.chance(0.5) {
+                Fault::NotApplied
+            } else {
+                Fault::Unknown
+            };
+            self.reply(from, life, token, Err(fault));
+            return;
+        }
+        let lost = self.chance(self.faults.lost_answers);
+        let late = lost && self.chance(self.faults.late);
+        let span = if late {
+            Duration::from_secs(10)
+        } else {
+            self.faults.service
+        };
+        let at = self.now + self.some(span);
+        self.at(
+            at,
+            Event::Call {
+                from: from.clone(),
+                incarnation: life,
+                token,
+                op,
+                answer: !lost,
+            },
+        );
+        if lost && self.chance(0.5) {
+            self.reply(from, life, token, Err(Fault::Unknown));
+        }
+    }
+
+    fn reply(&mut self, to: &Name, life: Incarnation, token: Token, outcome: Outcome) {
+        let at = self.now + self.some(self.faults.service);
+        self.at(
+            at,
+            Event::Input {
+                to: to.clone(),
+                incarnation: life,
+                input: Input::Kv { token, outcome },
+            },
+        );
+    }
+
+    fn carry(&mut self, event: Event) {
+        match event {
+            Event::Input {
+                to,
+                incarnation,
+                input,
+            } => {
+                let current = self.hosts.get(&to).map(|host| host.incarnation);
+                if current.is_some_and(|life| incarnation.0 == 0 || life == incarnation) {
+                    self.input(&to, input);
+                }
+            }
+            Event::Call {
+                from,
+                incarnation,
+                token,
+                op,
+                answer,
+            } => {
+                if self.down {
+                    return;
+                }
+                let reply = self.store.call(self.now, &op);
+                if let Some(reply) = reply.filter(|_| answer) {
+                    self.reply(&from, incarnation, token, Ok(reply));
+                }
+            }
+        }
+    }
+
+    fn at(&mut self, time: Time, event: Event) {
+        self.number += 1;
+        self.events.insert((time, self.number), event);
+    }
+
+    pub fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random::<f64>() < share
+    }
+
+    pub fn some(&mut self, most: Duration) -> Duration {
+        most.mul_f64(self.rng.random::<f64>())
+    }
+}
