--- /dev/null
+++ b/crates/member/tests/common/mod.rs
@@ -0,0 +1,618 @@
+//! A few members under virtual time: frames pass through the real codec and are handed
+//! over directly, the key-value service is the stand-in's store.
+
+#![allow(dead_code, missing_docs)]
+
+use mulberryrack_core::{
+    Incarnation, Name, Time,
+    kv::{Fault, Op, Outcome, Revision, Token},
+    node::{Listing, Role},
+    request::Priority,
+    view::{Peer, Standing, Value},
+};
+use mulberryrack_member::{Input, Member, Output, Settings, Verdict};
+use mulberryrack_standin::kv::Store;
+use mulberryrack_table::{Kind, Row, Table};
+use mulberryrack_wire::member::Frame;
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    sync::Arc,
+    time::Duration,
+};
+
+pub const CENTRES: [&str; 3] = ["fukuoka-hall", "kumamoto-hall", "kagoshima-hall"];
+
+/// How the service behaves.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Mode {
+    Up,
+    /// Refuses every call.
+    Down,
+    /// Answers nothing.
+    Silent,
+    /// Answers after this time.
+    Slow(Duration),
+    /// Serves reads from a copy made earlier; writes reach the store.
+    Stale,
+    /// Carries out writes, and loses their answers.
+    LosesAnswers,
+}
+
+enum Event {
+    Frame {
+        from: Name,
+        life: Incarnation,
+        to: Name,
+        bytes: Vec<u8>,
+    },
+    Kv {
+        to: Name,
+        life: Incarnation,
+        token: Token,
+        outcome: Outcome,
+    },
+    WatchEnd {
+        to: Name,
+        life: Incarnation,
+        token: Token,
+    },
+    Wake {
+        name: Name,
+        life: Incarnation,
+    },
+    Listing,
+}
+
+struct Watch {
+    to: Name,
+    life: Incarnation,
+    token: Token,
+    prefix: Arc<str>,
+    after: Revision,
+}
+
+pub struct Node {
+    pub member: Member,
+    pub life: Incarnation,
+    pub centre: Name,
+    wake: Option<Time>,
+    /// Every version in force, with its time.
+    pub adopted: Vec<(u64, Time)>,
+    pub values: BTreeMap<Name, Value>,
+    pub verdicts: BTreeMap<u64, Verdict>,
+    pub reads: BTreeMap<u64, Option<Vec<Arc<Table>>>>,
+    /// Each change of a standing, with its time.
+    pub standings: Vec<(Time, Name, Standing)>,
+    pub frames: u64,
+    pub bytes: u64,
+    pub calls: Vec<Time>,
+}
+
+pub struct Fleet {
+    pub now: Time,
+    pub nodes: BTreeMap<Name, Node>,
+    pub settings: Settings,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next: u64,
+    rng: ChaCha8Rng,
+    pub loss: f64,
+    pub duplicate: f64,
+    pub latency: Duration,
+    /// Directed pairs whose frames are lost.
+    pub cut: BTreeSet<(Name, Name)>,
+    /// Hosts whose calls to the service are refused.
+    pub cut_service: BTreeSet<Name>,
+    pub service: Store,
+    pub mode: Mode,
+    stale: Store,
+    watches: Vec<Watch>,
+    pub list: Vec<Listing>,
+    life: u64,
+}
+
+impl Fleet {
+    /// Hosts `host-00`.. over three data centres, all listed, started together.
+    pub fn new(size: usize, seed: u64) -> Self {
+        Self::with(size, seed, Settings::default())
+    }
+
+    pub fn with(size: usize, seed: u64, settings: Settings) -> Self {
+        let mut fleet = Self {
+            now: Time::from_millis(1_000),
+            nodes: BTreeMap::new(),
+            settings,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            loss: 0.0,
+            duplicate: 0.0,
+            latency: Duration::from_micros(700),
+            cut: BTreeSet::new(),
+            cut_service: BTreeSet::new(),
+            service: Store::default(),
+            mode: Mode::Up,
+            stale: Store::default(),
+            watches: Vec::new(),
+            list: Vec::new(),
+            life: 1_700_000_000_000,
+        };
+        for index in 0..size {
+            let name = host(index);
+            fleet
+                .list
+                .push(listing(&name, CENTRES[index % CENTRES.len()]));
+        }
+        for index in 0..size {
+            fleet.start(&host(index), CENTRES[index % CENTRES.len()]);
+        }
+        fleet.schedule(fleet.now, Event::Listing);
+        fleet
+    }
+
+    /// Starts a new life of a host. It reads the platform's list at once.
+    pub fn start(&mut self, name: &str, centre: &str) {
+        self.life += 1_000;
+        let life = Incarnation(self.life);
+        let me = Peer {
+            name: name.into(),
+            incarnation: life,
+            data_centre: centre.into(),
+            address: format!("{name}:80").into(),
+            peer_address: format!("{name}:81").into(),
+            standing: Standing::Alive,
+        };
+        let seed = self.rng.random();
+        let member = Member::new(self.settings.clone(), me, seed, self.now);
+        let node = Node {
+            member,
+            life,
+            centre: centre.into(),
+            wake: None,
+            adopted: Vec::new(),
+            values: BTreeMap::new(),
+            verdicts: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            standings: Vec::new(),
+            frames: 0,
+            bytes: 0,
+            calls: Vec::new(),
+        };
+        self.nodes.insert(name.into(), node);
+        let list: Arc<[Listing]> = self.list.clone().into();
+        self.tell(name, Input::Listing(Some(list)));
+    }
+
+    /// Ends a host without notice.
+    pub fn kill(&mut self, name: &str) {
+        self.nodes.remove(name);
+        self.watches.retain(|watch| &*watch.to != name);
+    }
+
+    /// Takes a host off the platform's list.
+    pub fn unlist(&mut self, name: &str) {
+        self.list.retain(|listing| &*listing.name != name);
+    }
+
+    /// Cuts all frames between two sets of hosts, both ways.
+    pub fn part(&mut self, left: &[Name], right: &[Name]) {
+        for a in left {
+            for b in right {
+                self.cut.insert((a.clone(), b.clone()));
+                self.cut.insert((b.clone(), a.clone()));
+            }
+        }
+    }
+
+    pub fn set_mode(&mut self, mode: Mode) {
+        if mode == Mode::Stale {
+            self.stale = self.service.clone();
+        }
+        self.mode = mode;
+        if self.mode != Mode::Up {
+            self.watches.clear();
+        }
+    }
+
+    /// Gives an input to a host.
+    pub fn tell(&mut self, name: &str, input: Input) {
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let mut out = Vec::new();
+        let before = node.member.view();
+        node.member.handle(self.now, input, &mut out);
+        let view = node.member.view();
+        if !Arc::ptr_eq(&before, &view) {
+            for peer in &view.peers {
+                if before.peer(&peer.name).map(|peer| peer.standing) != Some(peer.standing) {
+                    node.standings
+                        .push((self.now, peer.name.clone(), peer.standing));
+                }
+            }
+        }
+        let wake = node
+            .member
+            .next_wake()
+            .map(|at| at.max(self.now + Duration::from_micros(1)));
+        let life = node.life;
+        if wake != node.wake {
+            node.wake = wake;
+            if let Some(at) = wake {
+                self.schedule(
+                    at,
+                    Event::Wake {
+                        name: name.into(),
+                        life,
+                    },
+                );
+            }
+        }
+        for output in out {
+            self.output(name, life, output);
+        }
+    }
+
+    fn output(&mut self, name: &str, life: Incarnation, output: Output) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        match output {
+            Output::Frame { to, frame, address } => {
+                assert_eq!(
+                    *address,
+                    *format!("{to}:81"),
+                    "frames carry the receiver's address"
+                );
+                let bytes = frame.encode_to_vec();
+                node.frames += 1;
+                node.bytes += bytes.len() as u64;
+                self.transmit(name, life, &to, &bytes);
+            }
+            Output::Kv { token, op } => {
+                node.calls.push(now);
+                self.call(name, life, token, &op);
+            }
+            Output::Value(value) => {
+                node.values.insert(value.key.clone(), value);
+            }
+            Output::Table(table) => node.adopted.push((table.version, now)),
+            Output::Accepted { ticket, verdict } => {
+                node.verdicts.insert(ticket, verdict);
+            }
+            Output::Read { ticket, tables } => {
+                node.reads.insert(ticket, tables);
+            }
+            Output::View(_) | Output::Note(_) | Output::Count(_) => {}
+        }
+    }
+
+    fn transmit(&mut self, from: &str, life: Incarnation, to: &Name, bytes: &[u8]) {
+        if self.cut.contains(&(from.into(), to.clone())) {
+            return;
+        }
+        let copies = 1 + u32::from(self.duplicate > 0.0 && self.rng.random_bool(self.duplicate));
+        for _ in 0..copies {
+            if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let delay = self.latency + self.latency.mul_f64(self.rng.random::<f64>());
+            let event = Event::Frame {
+                from: from.into(),
+                life,
+                to: to.clone(),
+                bytes: bytes.to_vec(),
+            };
+            self.schedule(self.now + delay, event);
+        }
+    }
+
+    fn call(&mut self, name: &str, life: Incarnation, token: Token, op: &Op) {
+        let to: Name = name.into();
+        let soon = self.now + Duration::from_millis(2);
+        if self.cut_service.contains(name) || self.mode == Mode::Down {
+            let outcome = Err(Fault::NotApplied);
+            self.schedule(
+                soon,
+                Event::Kv {
+                    to,
+                    life,
+                    token,
+                    outcome,
+                },
+            );
+            return;
+        }
+        if self.mode == Mode::Silent {
+            return;
+        }
+        let reads = matches!(op, Op::Get { .. } | Op::List { .. } | Op::Watch { .. });
+        let stale = self.mode == Mode::Stale && reads;
+        let store = if stale {
+            &mut self.stale
+        } else {
+            &mut self.service
+        };
+        let Some(reply) = store.call(self.now, op) else {
+            let Op::Watch {
+                prefix,
+                after,
+                wait,
+            } = op
+            else {
+                unreachable!("only watches wait");
+            };
+            let end = Event::WatchEnd {
+                to: to.clone(),
+                life,
+                token,
+            };
+            self.schedule(self.now + *wait, end);
+            self.watches.push(Watch {
+                to,
+                life,
+                token,
+                prefix: prefix.clone(),
+                after: *after,
+            });
+            return;
+        };
+        let (at, outcome) = match &self.mode {
+            Mode::Slow(delay) => (self.now + *delay, Ok(reply)),
+            Mode::LosesAnswers if !reads => (soon, Err(Fault::Unknown)),
+            _ => (soon, Ok(reply)),
+        };
+        self.schedule(
+            at,
+            Event::Kv {
+                to,
+                life,
+                token,
+                outcome,
+            },
+        );
+        self.wake_watches();
+    }
+
+    fn wake_watches(&mut self) {
+        if self.mode == Mode::Stale {
+            return;
+        }
+        let soon = self.now + Duration::from_millis(2);
+        for watch in std::mem::take(&mut self.watches) {
+            match self.service.changes(&watch.prefix, watch.after) {
+                Some(reply) => {
+                    let event = Event::Kv {
+                        to: watch.to,
+                        life: watch.life,
+                        token: watch.token,
+                        outcome: Ok(reply),
+                    };
+                    self.schedule(soon, event);
+                }
+                None => self.watches.push(watch),
+            }
+        }
+    }
+
+    fn schedule(&mut self, at: Time, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&id) {
+                self.step(event);
+            }
+        }
+        self.now = until;
+    }
+
+    pub fn run_ms(&mut self, millis: u64) {
+        self.run(Duration::from_millis(millis));
+    }
+
+    fn lives(&self, name: &str, life: Incarnation) -> bool {
+        self.nodes.get(name).is_some_and(|node| node.life == life)
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Frame {
+                from,
+                life,
+                to,
+                bytes,
+            } => {
+                let frame = Frame::decode(&*bytes).expect("frames decode");
+                self.tell(
+                    &to,
+                    Input::Frame {
+                        from,
+                        incarnation: life,
+                        frame,
+                    },
+                );
+            }
+            Event::Kv {
+                to,
+                life,
+                token,
+                outcome,
+            } if self.lives(&to, life) => {
+                self.tell(&to, Input::Kv { token, outcome });
+            }
+            Event::WatchEnd { to, life, token } => {
+                let at = self
+                    .watches
+                    .iter()
+                    .position(|it| it.to == to && it.life == life && it.token == token);
+                if let Some(at) = at {
+                    self.watches.swap_remove(at);
+                    let outcome = Ok(self.service.unchanged());
+                    self.tell(&to, Input::Kv { token, outcome });
+                }
+            }
+            Event::Wake { name, life } if self.lives(&name, life) => {
+                let due = self.nodes.get(&name).and_then(|node| node.wake);
+                if due.is_some_and(|due| due <= self.now) {
+                    self.nodes.get_mut(&name).expect("lives").wake = None;
+                    self.tell(&name, Input::Wake);
+                }
+            }
+            Event::Listing => {
+                let list: Arc<[Listing]> = self.list.clone().into();
+                let names: Vec<Name> = self.nodes.keys().cloned().collect();
+                for name in names {
+                    self.tell(&name, Input::Listing(Some(list.clone())));
+                }
+                self.schedule(self.now + Duration::from_secs(5), Event::Listing);
+            }
+            Event::Kv { .. } | Event::Wake { .. } => {}
+        }
+    }
+
+    pub fn names(&self) -> Vec<Name> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    pub fn node(&self, name: &str) -> &Node {
+        self.nodes.get(name).expect("the host runs")
+    }
+
+    /// Proposes a table at a host; the verdict is kept under the ticket.
+    pub fn accept(&mut self, name: &str, ticket: u64, parent: u64, change: &str, rows: Vec<Row>) {
+        self.tell(
+            name,
+            Input::Accept {
+                ticket,
+                parent,
+                change: change.into(),
+                author: "operator".into(),
+                rows: rows.into(),
+            },
+        );
+    }
+
+    pub fn verdict(&self, name: &str, ticket: u64) -> Option<&Verdict> {
+        self.node(name).verdicts.get(&ticket)
+    }
+
+    /// Accepts a first table and lets it spread.
+    pub fn settle(&mut self, rows: Vec<Row>) {
+        self.run_ms(3_000);
+        let first = self.names()[0].clone();
+        self.accept(&first, 1, 0, "first", rows);
+        self.run_ms(4_000);
+        assert!(self.all_at(1), "the first table is in force everywhere");
+    }
+
+    pub fn all_at(&self, version: u64) -> bool {
+        self.versions().iter().all(|it| *it == version)
+    }
+
+    pub fn versions(&self) -> Vec<u64> {
+        self.nodes
+            .values()
+            .map(|node| node.member.table().map_or(0, |table| table.version))
+            .collect()
+    }
+
+    /// No host ever went back to a lower version.
+    pub fn assert_monotonic(&self) {
+        for (name, node) in &self.nodes {
+            assert!(
+                node.adopted.is_sorted_by(|a, b| a.0 < b.0),
+                "{name} went back: {:?}",
+                node.adopted
+            );
+        }
+    }
+
+    pub fn standing(&self, at: &str, of: &str) -> Option<Standing> {
+        self.node(at)
+            .member
+            .view()
+            .peer(of)
+            .map(|peer| peer.standing)
+    }
+
+    /// Whether every host sees every running host in this standing.
+    pub fn all_see(&self, of: &str, standing: Standing) -> bool {
+        self.nodes
+            .keys()
+            .filter(|at| &***at != of)
+            .all(|at| self.standing(at, of) == Some(standing))
+    }
+
+    pub fn whole(&self) -> bool {
+        self.nodes
+            .keys()
+            .all(|of| self.all_see(of, Standing::Alive))
+    }
+}
+
+pub fn host(index: usize) -> Name {
+    format!("host-{index:04}").into()
+}
+
+pub fn listing(name: &str, centre: &str) -> Listing {
+    Listing {
+        name: name.into(),
+        role: Role::Host,
+        group: "".into(),
+        data_centre: centre.into(),
+        address: format!("{name}:80").into(),
+        peer_address: format!("{name}:81").into(),
+        memory_mb: 0,
+        accelerators: 0,
+        fencing: false,
+        leaving: false,
+    }
+}
+
+/// Rows `row-0000`.. with this share.
+pub fn rows(count: usize, share: u32) -> Vec<Row> {
+    (0..count).map(|index| row(index, share)).collect()
+}
+
+pub fn row(index: usize, share: u32) -> Row {
+    let adapter = !index.is_multiple_of(4);
+    Row {
+        name: format!("row-{index:04}").into(),
+        kind: if adapter { Kind::Adapter } else { Kind::Model },
+        base: adapter.then(|| format!("row-{:04}", index / 4 * 4).into()),
+        version: "2026-11-03".into(),
+        memory_mb: 4_096,
+        share,
+        priority: Priority::Normal,
+        ceiling: 64,
+        first_token: Duration::from_millis(530),
+        token_gap: Duration::from_millis(39),
+        repeatable: true,
+        min_copies: 1,
+        max_copies: 4,
+    }
+}
+
+/// Rows with one share changed.
+pub fn edited(count: usize, index: usize, share: u32) -> Vec<Row> {
+    let mut rows = rows(count, 1);
+    rows[index] = row(index, share);
+    rows
+}
