--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -50,6 +50,8 @@
     streams: BTreeMap<Name, Stream>,
     queue: BTreeSet<Place>,
     batch: Vec<Name>,
+    /// Streams whose answer is whole, in the order in which they are forgotten.
+    kept: VecDeque<(Time, Name)>,
     arrivals: u64,
     next_step: Option<Time>,
     /// When the prompts taken so far have been read.
@@ -80,6 +82,7 @@
             streams: BTreeMap::new(),
             queue: BTreeSet::new(),
             batch: Vec::new(),
+            kept: VecDeque::new(),
             arrivals: 0,
             next_step: None,
             prefill_free: Time::ZERO,
@@ -132,14 +135,8 @@
             return self.down_until;
         }
         let late = self.late.iter().map(|(at, _)| *at).min();
-        let kept = self
-            .streams
-            .values()
-            .filter_map(|stream| match stream.phase {
-                Phase::Whole(until) => Some(until),
-                _ => None,
-            });
-        earliest(earliest(self.next_step, late), kept.min())
+        let kept = self.kept.front().map(|(until, _)| *until);
+        earliest(earliest(self.next_step, late), kept)
     }
 
     fn take(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
@@ -188,8 +185,11 @@
         if self.next_step.is_some_and(|at| at <= now) {
             self.step(now, out);
         }
-        self.streams
-            .retain(|_, stream| !matches!(stream.phase, Phase::Whole(until) if until <= now));
+        while self.kept.front().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, name)) = self.kept.pop_front() {
+                self.streams.remove(&name);
+            }
+        }
         self.note_change(now);
     }
 
@@ -257,7 +257,9 @@
         self.queue
             .remove(&(stream.priority, stream.arrival, name.into()));
         self.batch.retain(|running| **running != *name);
-        if !matches!(stream.phase, Phase::Whole(_)) {
+        if stream.phase == Phase::Whole {
+            self.kept.retain(|(_, kept)| **kept != *name);
+        } else {
             self.memory.end(&stream.row, &stream.version);
         }
         answer(ticket, 200, "cancelled", out);
@@ -308,7 +310,8 @@
             };
             let whole = stream.step(now);
             if whole {
-                stream.phase = Phase::Whole(kept_until);
+                stream.phase = Phase::Whole;
+                self.kept.push_back((kept_until, name.clone()));
                 self.memory.end(&stream.row, &stream.version);
             }
             stream.flush(out);
@@ -345,6 +348,7 @@
         self.streams.clear();
         self.queue.clear();
         self.batch.clear();
+        self.kept.clear();
         self.next_step = None;
         self.prefill_free = now;
         self.cache = Cache::new(self.settings.cache_blocks, self.settings.event_gap);
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -17,8 +17,8 @@
     Prefill(Time),
     /// In the batch; each step makes a token.
     Decode,
-    /// The answer is whole; it can be read again until this moment.
-    Whole(Time),
+    /// The answer is whole; it can be read again for a time.
+    Whole,
 }
 
 /// Who reads the stream, and how far it has come.
@@ -54,7 +54,7 @@
         match self.phase {
             Phase::Prefill(until) if until <= now => self.phase = Phase::Decode,
             Phase::Decode => {}
-            Phase::Waiting | Phase::Prefill(_) | Phase::Whole(_) => return false,
+            Phase::Waiting | Phase::Prefill(_) | Phase::Whole => return false,
         }
         self.tokens += 1;
         self.writer.token(self.tokens, &mut self.body);
@@ -67,7 +67,7 @@
             return;
         };
         let ticket = reader.ticket;
-        let whole = matches!(self.phase, Phase::Whole(_));
+        let whole = self.phase == Phase::Whole;
         let part = &self.body[reader.offset..];
         if part.is_empty() && !whole {
             return;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The models ([`kv`], [`memory`], [`engine`], [`weights`], [`list`], [`service`]) have
 //! no sockets and no clock, so that tests and replays can drive them in virtual time.
+//! [`world`] runs a whole deployment of them on loopback ports.
 
 pub mod answer;
 pub mod deployment;
@@ -13,3 +14,4 @@
 pub mod run;
 pub mod service;
 pub mod weights;
+pub mod world;
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Adds a machine that readers see at once.
+    pub fn preset(&mut self, listing: Listing) {
+        self.seen.insert(listing.name.clone(), listing);
+    }
+
     /// Adds or replaces a machine.
     pub fn set(&mut self, now: Time, listing: Listing) {
         self.pending.push_back((now, Change::Set(listing)));
