Planner: lease, engine records, orders, lowest numbers of copies, published routes

The cell's planner holds cell/N under a lease; each engine's record engine/NAME holds every order that can still take effect and is written by compare-and-swap before an order is sent. Spread values engine/NAME carry (term, counter) as their version.

--- /dev/null
+++ b/crates/place/src/cell.rs
@@ -0,0 +1,719 @@
+//! A cell of engines: its lease, its engines' records and orders, and its plans.
+
+use crate::{
+    Output, Settings,
+    demand::Book,
+    engine::{Engine, Verdict},
+    plan::{self, Limits, refresh},
+    record::Intent,
+    tenure::{Ask, Tenure},
+    world::{self, Copy, Row, State, Step, World},
+};
+use mulberryrack_core::{
+    Incarnation, Name, Time, earliest,
+    kv::{Fault, Op, Outcome, Reply, Token},
+    node::Listing,
+    note::{Counter, Level, Note},
+    request::Priority,
+    upstream::{Action, Contact, Order, Residency},
+    view::Value,
+};
+use mulberryrack_table::Table;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Bits of an order's id that count inside a term.
+const ORDER_BITS: u32 = 20;
+/// Bits of a spread value's version that count inside a term.
+const VERSION_BITS: u32 = 24;
+
+/// Time after which a plan is made though nothing seems to have changed.
+const PLAN_AGAIN: Duration = Duration::from_secs(5);
+
+/// What a call to the key-value service was made for.
+#[derive(Clone, Debug)]
+pub(crate) enum What {
+    Tenure(Ask),
+    Engine(Name),
+}
+
+#[derive(Debug)]
+struct Call {
+    cell: u32,
+    term: Option<u64>,
+    what: What,
+    until: Time,
+}
+
+/// Calls to the key-value service that are not answered yet.
+#[derive(Debug, Default)]
+pub(crate) struct Calls {
+    next: u64,
+    open: BTreeMap<Token, Call>,
+}
+
+/// What the whole planner knows and every cell uses.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub settings: Settings,
+    pub me: Name,
+    pub table: Option<Arc<Table>>,
+    /// The table's rows, by the index of `index`.
+    pub rows: Vec<Row>,
+    pub index: BTreeMap<Name, usize>,
+    /// Bases of adapters that have left the table, so that they go before their bases.
+    pub former: BTreeMap<Name, Name>,
+    /// The cell of each row.
+    pub homes: Vec<u32>,
+    pub centres: Vec<Name>,
+    /// Number of cells.
+    pub cells: u32,
+    pub demand: Book,
+    /// Rows that are routable on engines of cells other than the key.
+    pub spread: BTreeMap<Name, (u32, BTreeSet<Name>)>,
+}
+
+/// Where effects go.
+pub(crate) struct Effects<'a> {
+    pub calls: &'a mut Calls,
+    pub random: &'a mut ChaCha8Rng,
+    pub out: &'a mut Vec<Output>,
+}
+
+/// One cell as this host sees it.
+#[derive(Debug)]
+pub(crate) struct Cell {
+    pub id: u32,
+    tenure: Tenure,
+    /// The term that `engines` belongs to.
+    pub term: Option<u64>,
+    listings: Vec<Listing>,
+    pub engines: BTreeMap<Name, Engine>,
+    /// Whether this host should hold the cell.
+    pub wanted: bool,
+    unwanted_since: Option<Time>,
+    taken: Time,
+    next_plan: Time,
+    pub dirty: bool,
+    planned: Time,
+    driven: Time,
+    answering: usize,
+    /// Loads that may begin now.
+    allowance: f64,
+    allowance_at: Time,
+    orders: u64,
+    versions: u64,
+}
+
+impl Calls {
+    /// Makes a call and bounds the wait for its answer.
+    fn start(&mut self, until: Time, cell: &Cell, what: What, op: Op) -> Output {
+        let token = Token(self.next);
+        self.next += 1;
+        let entry = Call {
+            cell: cell.id,
+            term: cell.term,
+            what,
+            until,
+        };
+        self.open.insert(token, entry);
+        Output::Kv { token, op }
+    }
+
+    /// The call that an answer belongs to: its cell, term and purpose.
+    pub fn end(&mut self, token: Token) -> Option<(u32, Option<u64>, What)> {
+        let call = self.open.remove(&token)?;
+        Some((call.cell, call.term, call.what))
+    }
+
+    /// Calls whose time is over.
+    pub fn overdue(&self, now: Time) -> Vec<Token> {
+        let overdue = self.open.iter().filter(|(_, call)| call.until <= now);
+        overdue.map(|(token, _)| *token).collect()
+    }
+
+    pub fn next_wake(&self) -> Option<Time> {
+        self.open.values().map(|call| call.until).min()
+    }
+}
+
+impl Cell {
+    pub fn new(id: u32, me: Name, incarnation: Incarnation, ttl: Duration, now: Time) -> Self {
+        Self {
+            id,
+            tenure: Tenure::new(id, me, incarnation, ttl, now),
+            term: None,
+            listings: Vec::new(),
+            engines: BTreeMap::new(),
+            wanted: false,
+            unwanted_since: None,
+            taken: now,
+            next_plan: now,
+            dirty: false,
+            planned: now,
+            driven: now,
+            answering: 0,
+            allowance: 0.0,
+            allowance_at: now,
+            orders: 0,
+            versions: 0,
+        }
+    }
+
+    /// Takes the platform's list of the cell's engines.
+    pub fn list(&mut self, now: Time, listings: Vec<Listing>, shared: &Shared) {
+        for engine in self.engines.values_mut() {
+            engine.listed = listings.iter().any(|l| l.name == engine.listing.name);
+        }
+        if self.term.is_some() {
+            for listing in &listings {
+                self.engines
+                    .entry(listing.name.clone())
+                    .or_insert_with(|| Engine::new(listing.clone(), &shared.settings, now))
+                    .listing = listing.clone();
+            }
+        }
+        self.listings = listings;
+        self.dirty = true;
+    }
+
+    /// Does what is due.
+    pub fn drive(&mut self, now: Time, shared: &Shared, fx: &mut Effects<'_>) {
+        self.hand_over(now, shared, fx);
+        if let Some((ask, op)) = self.tenure.due(now, self.wanted) {
+            self.call(now, shared, fx, What::Tenure(ask), op);
+        }
+        self.notice_pause(now, shared);
+        let Some(term) = self.term else {
+            return;
+        };
+        self.drop_gone(now, shared, fx);
+        self.poll(now, shared, fx);
+        if now >= self.next_plan {
+            self.next_plan = now + shared.settings.plan;
+            self.plan(now, term, shared, fx);
+        }
+        self.publish(now, term, shared, fx);
+        self.store(now, term, shared, fx);
+        self.send(now, term, shared, fx);
+    }
+
+    /// When [`Cell::drive`] has something to do.
+    pub fn next_wake(&self) -> Option<Time> {
+        let tenure = self.tenure.next_wake(self.wanted);
+        if self.term.is_none() {
+            return tenure;
+        }
+        let polls = self.engines.values().map(|engine| engine.next_poll).min();
+        earliest(earliest(tenure, polls), Some(self.next_plan))
+    }
+
+    /// Gives the cell up, if it is held. `true` if a call was made for it.
+    pub fn release(&mut self, now: Time, shared: &Shared, fx: &mut Effects<'_>) -> bool {
+        let Some((ask, op)) = self.tenure.release(now) else {
+            return false;
+        };
+        self.call(now, shared, fx, What::Tenure(ask), op);
+        self.follow_tenure(now, shared, fx);
+        true
+    }
+
+    fn hand_over(&mut self, now: Time, shared: &Shared, fx: &mut Effects<'_>) {
+        if self.wanted || self.term.is_none() {
+            self.unwanted_since = None;
+            return;
+        }
+        let since = *self.unwanted_since.get_or_insert(now);
+        if now.since(since) >= shared.settings.handover {
+            self.release(now, shared, fx);
+        }
+    }
+
+    fn call(&self, now: Time, shared: &Shared, fx: &mut Effects<'_>, what: What, op: Op) {
+        let until = now + shared.settings.call_timeout;
+        let output = fx.calls.start(until, self, what, op);
+        fx.out.push(output);
+    }
+
+    /// Takes a call's outcome.
+    pub fn kv(
+        &mut self,
+        now: Time,
+        what: &What,
+        outcome: &Outcome,
+        shared: &Shared,
+        fx: &mut Effects<'_>,
+    ) {
+        match what {
+            What::Tenure(ask) => {
+                if let Some((ask, op)) = self.tenure.answer(now, *ask, outcome) {
+                    self.call(now, shared, fx, What::Tenure(ask), op);
+                }
+            }
+            What::Engine(name) => self.stored(now, name, outcome, shared),
+        }
+        self.follow_tenure(now, shared, fx);
+    }
+
+    fn stored(&mut self, now: Time, name: &Name, outcome: &Outcome, shared: &Shared) {
+        let (Some(term), Some(engine)) = (self.term, self.engines.get_mut(name)) else {
+            return;
+        };
+        let settings = &shared.settings;
+        let current = match outcome {
+            Ok(Reply::Entry(entry) | Reply::Conflict(entry)) => {
+                engine.adopt(now, entry.as_ref(), term, settings)
+            }
+            Ok(Reply::Written(revision)) => {
+                engine.written(now, *revision, settings);
+                true
+            }
+            Err(Fault::NotApplied) => {
+                engine.not_stored(now);
+                true
+            }
+            _ => {
+                engine.unsure(now);
+                true
+            }
+        };
+        self.dirty = true;
+        if !current {
+            self.tenure.idle(now);
+        }
+    }
+
+    /// Starts or ends planning when the lease is won or lost.
+    fn follow_tenure(&mut self, now: Time, shared: &Shared, fx: &mut Effects<'_>) {
+        if self.tenure.term() == self.term {
+            return;
+        }
+        self.term = self.tenure.term();
+        self.engines.clear();
+        self.taken = now;
+        self.next_plan = now;
+        self.allowance = 0.0;
+        self.allowance_at = now;
+        (self.orders, self.versions) = (0, 0);
+        let event = if self.term.is_some() {
+            "cell-taken"
+        } else {
+            "cell-given-up"
+        };
+        let note = Note::new(Level::Info, event).with("cell", self.id);
+        fx.out.push(Output::Note(note));
+        if self.term.is_some() {
+            self.list(now, self.listings.clone(), shared);
+        }
+    }
+
+    /// Takes what came of a poll or an order.
+    pub fn contact(
+        &mut self,
+        now: Time,
+        engine: &str,
+        order: Option<u64>,
+        contact: &Contact,
+        shared: &Shared,
+    ) {
+        let Some(engine) = self.engines.get_mut(engine) else {
+            return;
+        };
+        if *contact == Contact::Fenced {
+            self.tenure.verify(now);
+        }
+        self.dirty |= engine.contact(now, order, contact, &shared.settings);
+    }
+
+    /// After a pause of this process silence says nothing about the engines.
+    fn notice_pause(&mut self, now: Time, shared: &Shared) {
+        if now.since(self.driven) > shared.settings.lost / 2 {
+            for engine in self.engines.values_mut() {
+                engine.heard = engine.heard.map(|_| now);
+            }
+        }
+        self.driven = now;
+    }
+
+    /// Forgets engines that are neither listed nor answer.
+    fn drop_gone(&mut self, now: Time, shared: &Shared, fx: &mut Effects<'_>) {
+        let lost = shared.settings.lost;
+        let gone = |engine: &Engine| !engine.listed && !engine.answers(now, lost);
+        let names: Vec<Name> = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| gone(engine))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            self.engines.remove(&name);
+            self.dirty = true;
+            let note = Note::new(Level::Warn, "engine-gone").with("engine", name);
+            fx.out.push(Output::Note(note));
+        }
+    }
+
+    fn poll(&mut self, now: Time, shared: &Shared, fx: &mut Effects<'_>) {
+        let poll = shared.settings.poll;
+        for engine in self.engines.values_mut() {
+            if now < engine.next_poll {
+                continue;
+            }
+            let next = now + poll.mul_f64(fx.random.random_range(0.75..1.25));
+            if engine.poll(now, next) {
+                fx.out.push(Output::Poll {
+                    engine: engine.listing.name.clone(),
+                    address: engine.listing.address.clone(),
+                });
+            }
+        }
+    }
+
+    /// Whether so many engines are silent that the fault may be on this side.
+    fn isolated(&self, now: Time, lost: Duration) -> bool {
+        let silent = self.engines.values().filter(|e| !e.answers(now, lost));
+        silent.count() * 2 > self.engines.len()
+    }
+
+    fn publish(&mut self, now: Time, term: u64, shared: &Shared, fx: &mut Effects<'_>) {
+        let lost = shared.settings.lost;
+        let isolated = self.isolated(now, lost);
+        let base = |row: &str| {
+            let row = &shared.rows[*shared.index.get(row)?];
+            Some(shared.rows[row.base?].name.clone())
+        };
+        for engine in self.engines.values_mut() {
+            let routes = isolated || engine.answers(now, lost);
+            let Some(bytes) = engine.publish(term, routes, base) else {
+                continue;
+            };
+            self.versions += 1;
+            fx.out.push(Output::Publish(Value {
+                key: format!("engine/{}", engine.listing.name).into(),
+                version: (term << VERSION_BITS) + self.versions,
+                bytes,
+            }));
+        }
+    }
+
+    fn store(&mut self, now: Time, term: u64, shared: &Shared, fx: &mut Effects<'_>) {
+        let ops: Vec<(Name, Op)> = self
+            .engines
+            .iter_mut()
+            .filter_map(|(name, engine)| Some((name.clone(), engine.store(now, term)?)))
+            .collect();
+        for (name, op) in ops {
+            self.call(now, shared, fx, What::Engine(name), op);
+        }
+    }
+
+    fn send(&mut self, now: Time, term: u64, shared: &Shared, fx: &mut Effects<'_>) {
+        let routable = self.routable(now, shared);
+        for engine in self.engines.values_mut() {
+            if !engine.holds(term) {
+                continue;
+            }
+            let judge =
+                |engine: &Engine, intent: &Intent| verdict(engine, intent, term, shared, &routable);
+            let orders: Vec<Order> = engine.due(now, term, &shared.settings, judge);
+            for order in orders {
+                fx.out.push(Output::Order {
+                    engine: engine.listing.name.clone(),
+                    address: engine.listing.address.clone(),
+                    order,
+                });
+            }
+        }
+    }
+
+    /// Routable copies by row; empty when no unload is pending.
+    fn routable(&self, now: Time, shared: &Shared) -> BTreeMap<Name, Vec<(Name, Name)>> {
+        let mut routable: BTreeMap<Name, Vec<(Name, Name)>> = BTreeMap::new();
+        let unloads = |engine: &Engine| engine.confirmed().any(|i| i.unload().is_some());
+        if !self.engines.values().any(unloads) {
+            return routable;
+        }
+        for engine in self.engines.values() {
+            if engine.leaving() || !engine.answers(now, shared.settings.lost) {
+                continue;
+            }
+            for resident in engine.report.iter().flat_map(|report| &report.residents) {
+                let (row, version) = (&resident.row, &resident.version);
+                if engine.routable(row, version, shared.base(row).as_deref()) {
+                    let place = (engine.listing.name.clone(), version.clone());
+                    routable.entry(row.clone()).or_default().push(place);
+                }
+            }
+        }
+        routable
+    }
+
+    fn plan(&mut self, now: Time, term: u64, shared: &Shared, fx: &mut Effects<'_>) {
+        self.allow(now, shared);
+        let settled = |e: &Engine| e.holds(term) && e.report.is_some();
+        let waiting =
+            now.since(self.taken) <= shared.settings.lost && !self.engines.values().all(settled);
+        self.notice_silence(now, shared);
+        if !self.dirty || waiting || shared.table.is_none() || self.engines.is_empty() {
+            return;
+        }
+        if self.orders >= 1 << (ORDER_BITS - 1) {
+            self.release(now, shared, fx);
+            return;
+        }
+        self.planned = now;
+        let mut world = self.survey(now, term, shared);
+        let limits = self.limits(shared);
+        let steps = plan::next(&mut world, limits);
+        // What waits for the weight store's allowance is looked at again.
+        self.dirty = !steps.is_empty() || limits.loads == 0;
+        for step in steps {
+            self.order(term, &step, shared, fx);
+        }
+    }
+
+    /// Asks for a plan when an engine falls silent or answers again, and now and then.
+    fn notice_silence(&mut self, now: Time, shared: &Shared) {
+        let lost = shared.settings.lost;
+        let answering = self.engines.values().filter(|e| e.answers(now, lost));
+        let answering = answering.count();
+        let old = now.since(self.planned) >= PLAN_AGAIN;
+        self.dirty |= old || answering != self.answering;
+        self.answering = answering;
+    }
+
+    fn allow(&mut self, now: Time, shared: &Shared) {
+        let share = 1.0 / f64::from(shared.cells.max(1));
+        let rate = shared.settings.loads_per_second * share;
+        let earned = now.since(self.allowance_at).as_secs_f64() * rate;
+        self.allowance_at = now;
+        self.allowance = (self.allowance + earned).min(1.0);
+    }
+
+    fn limits(&self, shared: &Shared) -> Limits {
+        let share = shared.settings.parallel_loads / shared.cells.max(1);
+        let running: usize = self.engines.values().map(|e| e.loading().len()).sum();
+        let running = u32::try_from(running).unwrap_or(u32::MAX);
+        Limits {
+            loads: u32::from(self.allowance >= 1.0 && running < share.max(1)),
+            move_price: shared.settings.move_price,
+            copy_load: shared.settings.copy_load,
+        }
+    }
+
+    fn order(&mut self, term: u64, step: &Step, shared: &Shared, fx: &mut Effects<'_>) {
+        let Some(engine) = self.engines.get_mut(&step.engine) else {
+            return;
+        };
+        if step.load {
+            self.allowance -= 1.0;
+        }
+        self.orders += 1;
+        engine.add(
+            (term << ORDER_BITS) + self.orders,
+            term,
+            action(step, shared),
+        );
+        let note = Note::new(Level::Info, "move")
+            .with("engine", &step.engine)
+            .with("row", &step.row)
+            .with("version", &step.version)
+            .with("load", step.load)
+            .with("reason", step.reason.label());
+        fx.out.push(Output::Note(note));
+        fx.out.push(Output::Count(Counter::Move));
+    }
+
+    /// The world as it is now, for planning.
+    pub fn survey(&self, now: Time, term: u64, shared: &Shared) -> World {
+        let isolated = self.isolated(now, shared.settings.lost);
+        let mut rows = shared.rows.clone();
+        for (row, home) in rows.iter_mut().zip(&shared.homes) {
+            row.listed = *home == self.id;
+            row.load = shared.demand.load(&row.name) * weight(row.priority);
+        }
+        let mut engines = Vec::with_capacity(self.engines.len());
+        let mut index = shared.index.clone();
+        for engine in self.engines.values() {
+            let answers = engine.answers(now, shared.settings.lost);
+            let copies = self.copies(engine, shared, &mut rows, &mut index);
+            let refused = (0..shared.rows.len())
+                .filter(|&row| engine.refuses(now, &shared.rows[row].name))
+                .collect();
+            let centre = shared.centres.binary_search(&engine.listing.data_centre);
+            engines.push(world::Engine {
+                name: engine.listing.name.clone(),
+                data_centre: centre.unwrap_or(0),
+                capacity_mb: engine.capacity_mb(),
+                used_mb: engine.used_mb(),
+                restart_mb: engine.restart_mb(),
+                open: engine.open(now, term) && answers && !engine.leaving(),
+                counts: !engine.leaving() && (answers || isolated),
+                copies,
+                refused,
+            });
+        }
+        for row in rows.iter_mut().skip(shared.rows.len()) {
+            let base = shared.former.get(&row.name);
+            row.base = base.and_then(|base| index.get(base)).copied();
+        }
+        let mut world = World::new(rows, engines);
+        refresh(&mut world);
+        world
+    }
+
+    fn copies(
+        &self,
+        engine: &Engine,
+        shared: &Shared,
+        rows: &mut Vec<Row>,
+        index: &mut BTreeMap<Name, usize>,
+    ) -> Vec<Copy> {
+        let mut copies: Vec<Copy> = Vec::new();
+        let mut add = |row: &Name, version: &Name, memory_mb: u64, state: State| {
+            let key = *index.entry(row.clone()).or_insert_with(|| {
+                rows.push(stranger(row, version));
+                rows.len() - 1
+            });
+            let known = copies
+                .iter()
+                .any(|copy| copy.row == key && copy.version == *version);
+            if !known {
+                copies.push(Copy {
+                    row: key,
+                    version: version.clone(),
+                    current: false,
+                    memory_mb,
+                    state,
+                });
+            }
+        };
+        for resident in engine.report.iter().flat_map(|report| &report.residents) {
+            let (row, version) = (&resident.row, &resident.version);
+            let state = self.state(engine, row, version, resident.state, shared);
+            add(row, version, resident.memory_mb, state);
+        }
+        for intent in engine.pending() {
+            if let Some(((row, version), memory_mb)) = intent.load() {
+                add(&row, &version, memory_mb, State::Coming);
+            } else if let Some((row, version)) = intent.unload() {
+                add(&row, &version, 0, State::Going);
+            }
+        }
+        copies
+    }
+
+    fn state(
+        &self,
+        engine: &Engine,
+        row: &str,
+        version: &str,
+        residency: Residency,
+        shared: &Shared,
+    ) -> State {
+        if residency == Residency::Unloading || engine.unloads(row, version) {
+            return State::Going;
+        }
+        let base = shared.base(row);
+        let routable = engine.routable(row, version, base.as_deref());
+        if routable && !shared.only_here(self.id, row) {
+            State::Ready
+        } else {
+            State::Coming
+        }
+    }
+}
+
+impl Shared {
+    /// The base of an adapter in the table.
+    pub fn base(&self, row: &str) -> Option<Name> {
+        let row = &self.rows[*self.index.get(row)?];
+        Some(self.rows[row.base?].name.clone())
+    }
+
+    /// Whether a row of the table belongs to another cell and is routable only in this
+    /// one: its copies stay until the other cell has its own.
+    fn only_here(&self, cell: u32, row: &str) -> bool {
+        let Some(&index) = self.index.get(row) else {
+            return false;
+        };
+        let elsewhere = || {
+            let mut others = self.spread.values().filter(|(other, _)| *other != cell);
+            others.any(|(_, rows)| rows.contains(row))
+        };
+        self.homes[index] != cell && !elsewhere()
+    }
+}
+
+/// How much one pending request weighs against those of other rows.
+const fn weight(priority: Priority) -> f64 {
+    match priority {
+        Priority::Urgent => 4.0,
+        Priority::Normal => 1.0,
+        Priority::Bulk => 0.5,
+    }
+}
+
+fn stranger(row: &Name, version: &Name) -> Row {
+    Row {
+        name: row.clone(),
+        version: version.clone(),
+        memory_mb: 0,
+        base: None,
+        priority: Priority::Bulk,
+        min: 0,
+        max: 0,
+        load: 0.0,
+        listed: false,
+    }
+}
+
+fn action(step: &Step, shared: &Shared) -> Action {
+    let (row, version) = (step.row.clone(), step.version.clone());
+    if !step.load {
+        return Action::Unload { row, version };
+    }
+    let memory_mb = shared.rows[shared.index[&row]].memory_mb;
+    let base = shared.base(&row);
+    Action::Load {
+        row,
+        version,
+        memory_mb,
+        base,
+    }
+}
+
+/// Whether a recorded order is still wanted.
+fn verdict(
+    engine: &Engine,
+    intent: &Intent,
+    term: u64,
+    shared: &Shared,
+    routable: &BTreeMap<Name, Vec<(Name, Name)>>,
+) -> Verdict {
+    let wanted = match &intent.action {
+        Action::Load { row, version, .. } => {
+            let listed = shared.index.get(row).map(|&index| &shared.rows[index]);
+            !engine.leaving() && listed.is_some_and(|row| row.version == *version)
+        }
+        // A former planner knew other copies than there may be now.
+        Action::Unload { row, version } => {
+            let here = (&engine.listing.name, version);
+            let other = routable
+                .get(row)
+                .is_some_and(|places| places.iter().any(|(e, v)| (e, v) != here));
+            intent.term == term && (other || !shared.index.contains_key(row))
+        }
+        _ => false,
+    };
+    if wanted {
+        Verdict::Send
+    } else {
+        Verdict::Cancel
+    }
+}
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -190,6 +190,13 @@
             .any(|((name, _), copy)| **name == *row && copy.state == Residency::Ready)
     }
 
+    /// The state of a version of `row`; `None` if it is not in memory.
+    #[must_use]
+    pub fn state(&self, row: &str, version: &str) -> Option<Residency> {
+        let id = (Name::from(row), Name::from(version));
+        self.copies.get(&id).map(|copy| copy.state)
+    }
+
     /// Megabytes taken now.
     #[must_use]
     pub fn used_mb(&self) -> u64 {
