--- /dev/null
+++ b/crates/route/tests/common/upstream.rs
@@ -0,0 +1,429 @@
+//! A small upstream: an engine or a replica of a plain service.
+
+use super::{contact, engine_value, ms};
+use bytes::Bytes;
+use mulberryrack_core::{
+    Incarnation, Name, Time,
+    upstream::{Attempt, Connection, Contact, Event, Fault, Report, Send},
+    view::Value,
+};
+use mulberryrack_wire::place;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// How an upstream treats new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Serving,
+    /// Connections are refused.
+    Down,
+    /// Answers every request with this status.
+    Status(u16),
+    /// Connections are made, and nothing ever comes.
+    Silent,
+}
+
+/// Something that an upstream does.
+#[derive(Clone, Debug)]
+pub enum Job {
+    Begin(usize, Name, Incarnation, Box<Send>),
+    /// The next part of a stream of the upstream's life with this number.
+    Next(u64, u64),
+    Crash,
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Event(usize, Incarnation, Attempt, Event),
+    Job(Job),
+}
+
+/// A run, for the record.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub name: String,
+    pub at: Time,
+    pub whole: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Stream {
+    host: (usize, Name, Incarnation),
+    /// The attempt that began it.
+    origin: Attempt,
+    /// The attempt that gets its parts.
+    reader: Option<Attempt>,
+    target: String,
+    name: String,
+    run: usize,
+    body: Vec<u8>,
+    /// Bytes given to the reader.
+    given: usize,
+    parts: u32,
+    whole: bool,
+    running: bool,
+}
+
+#[derive(Debug)]
+#[allow(clippy::struct_excessive_bools)] // Independent faults.
+pub struct Fake {
+    pub name: Name,
+    pub data_centre: Name,
+    /// Empty for engines.
+    pub group: Name,
+    pub slots: u32,
+    pub rows: Vec<Name>,
+    pub version: u64,
+    pub incarnation: u64,
+    sequence: u64,
+    pub mode: Mode,
+    pub leaving: bool,
+    pub listed_leaving: bool,
+    pub value_leaving: bool,
+    pub report_age: Duration,
+    /// Whether polls go unanswered.
+    pub poll_silent: bool,
+    /// Pooled connections have gone silent: calls on them never arrive.
+    pub pool_dead: bool,
+    /// Parts of an answer.
+    pub chunks: u32,
+    pub first: Duration,
+    pub gap: Duration,
+    /// A stream's reader is cut off silently after this many parts, once.
+    pub mute_after: Option<u32>,
+    /// A stream's connection breaks after this many parts, once.
+    pub break_after: Option<u32>,
+    /// Bodies that contain this crash it.
+    pub poison: Option<String>,
+    pub crashes: u32,
+    streams: BTreeMap<u64, Stream>,
+    next: u64,
+    pub runs: Vec<Run>,
+    pub polls: u32,
+    pub cached: Vec<u64>,
+    pub evicted: Vec<u64>,
+}
+
+impl Fake {
+    pub fn new(name: &str, slots: u32) -> Self {
+        Self {
+            name: name.into(),
+            data_centre: "hall-0".into(),
+            group: "".into(),
+            slots,
+            rows: Vec::new(),
+            version: 0,
+            incarnation: 1,
+            sequence: 0,
+            mode: Mode::Serving,
+            leaving: false,
+            listed_leaving: false,
+            value_leaving: false,
+            report_age: ms(20),
+            poll_silent: false,
+            pool_dead: false,
+            chunks: 4,
+            first: ms(20),
+            gap: ms(10),
+            mute_after: None,
+            break_after: None,
+            poison: None,
+            crashes: 0,
+            streams: BTreeMap::new(),
+            next: 0,
+            runs: Vec::new(),
+            polls: 0,
+            cached: Vec::new(),
+            evicted: Vec::new(),
+        }
+    }
+
+    pub fn value(&self) -> Option<Value> {
+        if !self.group.is_empty() {
+            return None;
+        }
+        let engine = place::Engine {
+            address: "127.0.0.1:9".into(),
+            incarnation: self.incarnation,
+            data_centre: self.data_centre.to_string(),
+            leaving: self.value_leaving,
+            residents: self
+                .rows
+                .iter()
+                .map(|row| place::Resident {
+                    row: row.to_string(),
+                    version: "v1".into(),
+                    routable: true,
+                })
+                .collect(),
+        };
+        Some(Value {
+            key: format!("engine/{}", self.name).into(),
+            version: self.version,
+            bytes: engine_value(&engine),
+        })
+    }
+
+    pub fn restart(&mut self) {
+        self.streams.clear();
+        self.incarnation += 1;
+        self.sequence = 0;
+        self.mode = Mode::Serving;
+    }
+
+    pub fn poll(&mut self) -> (Duration, Contact) {
+        self.polls += 1;
+        if self.poll_silent {
+            return (ms(2_000), Contact::Unanswered);
+        }
+        if self.mode == Mode::Down {
+            return (ms(1), Contact::NotSent);
+        }
+        self.sequence += 1;
+        let running = self
+            .streams
+            .values()
+            .filter(|one| one.running && !one.whole);
+        let running = u32::try_from(running.count()).unwrap();
+        let waiting = self.streams.values().filter(|one| !one.running).count();
+        let report = Report {
+            incarnation: Incarnation(self.incarnation),
+            sequence: self.sequence,
+            age_ms: u64::try_from(self.report_age.as_millis()).unwrap(),
+            running,
+            waiting: u32::try_from(waiting).unwrap(),
+            slots: self.slots,
+            leaving: self.leaving,
+            cached: std::mem::take(&mut self.cached),
+            evicted: std::mem::take(&mut self.evicted),
+            ..Report::default()
+        };
+        (ms(1), contact(report))
+    }
+
+    /// Targets of the requests in work.
+    pub fn running(&self) -> impl Iterator<Item = String> + '_ {
+        self.streams
+            .values()
+            .filter(|stream| !stream.whole)
+            .map(|stream| stream.target.clone())
+    }
+
+    pub fn cancel(&mut self, host: usize, life: Incarnation, attempt: Attempt) {
+        self.streams.retain(|_, stream| {
+            (stream.host.0, stream.host.2) != (host, life)
+                || (stream.reader != Some(attempt) && stream.origin != attempt)
+        });
+        self.promote();
+    }
+
+    pub fn forget(&mut self, host: usize, life: Incarnation, attempt: Attempt) {
+        self.streams
+            .values_mut()
+            .filter(|stream| (stream.host.0, stream.host.2) == (host, life))
+            .filter(|stream| stream.reader == Some(attempt))
+            .for_each(|stream| stream.reader = None);
+    }
+
+    /// A host's connections end with it.
+    pub fn disconnect(&mut self, host: &Name, life: Incarnation) {
+        self.streams
+            .retain(|_, stream| stream.host.1 != *host || stream.host.2 != life);
+    }
+
+    fn promote(&mut self) {
+        let busy = |stream: &&Stream| stream.running && !stream.whole;
+        let running = self.streams.values().filter(busy).count();
+        let room = (self.slots as usize).saturating_sub(running);
+        self.streams
+            .values_mut()
+            .filter(|stream| !stream.running)
+            .take(room)
+            .for_each(|stream| stream.running = true);
+    }
+
+    pub fn work(&mut self, now: Time, job: Job) -> Vec<(Duration, Effect)> {
+        match job {
+            Job::Begin(index, host, life, send) => self.begin(now, (index, host, life), &send),
+            Job::Next(incarnation, id) if incarnation == self.incarnation => self.proceed(id),
+            Job::Next(..) => Vec::new(),
+            Job::Crash => self.crash(),
+        }
+    }
+
+    fn crash(&mut self) -> Vec<(Duration, Effect)> {
+        self.mode = Mode::Down;
+        self.crashes += 1;
+        std::mem::take(&mut self.streams)
+            .into_values()
+            .filter_map(|stream| {
+                let broken = Event::Fault(Fault::Broken);
+                let reader = stream.reader?;
+                let event = Effect::Event(stream.host.0, stream.host.2, reader, broken);
+                Some((ms(1), event))
+            })
+            .collect()
+    }
+
+    fn begin(
+        &mut self,
+        now: Time,
+        host: (usize, Name, Incarnation),
+        send: &Send,
+    ) -> Vec<(Duration, Effect)> {
+        let event = |event| vec![(ms(1), Effect::Event(host.0, host.2, send.attempt, event))];
+        let head = |status| Event::Head {
+            status,
+            headers: Arc::new([]),
+        };
+        match self.mode {
+            Mode::Down => return event(Event::Fault(Fault::NotSent)),
+            Mode::Silent => return Vec::new(),
+            Mode::Status(status) => return event(head(status)),
+            Mode::Serving => {}
+        }
+        if self.pool_dead && send.connection == Connection::Pooled {
+            return Vec::new();
+        }
+        if let Some((origin, offset)) = send.resume {
+            return self.resume(&host, send, origin, offset);
+        }
+        if self.leaving {
+            return event(head(503));
+        }
+        let name = String::from_utf8_lossy(&send.call.body).into_owned();
+        let run = self.runs.len();
+        self.runs.push(Run {
+            name: name.clone(),
+            at: now,
+            whole: false,
+        });
+        self.next += 1;
+        let stream = Stream {
+            host,
+            origin: send.attempt,
+            reader: Some(send.attempt),
+            target: name.split(' ').next().unwrap_or_default().to_owned(),
+            name: name.clone(),
+            run,
+            body: Vec::new(),
+            given: 0,
+            parts: 0,
+            whole: false,
+            running: false,
+        };
+        self.streams.insert(self.next, stream);
+        self.promote();
+        if self
+            .poison
+            .as_ref()
+            .is_some_and(|poison| name.contains(poison))
+        {
+            return vec![(ms(15), Effect::Job(Job::Crash))];
+        }
+        vec![(
+            self.first,
+            Effect::Job(Job::Next(self.incarnation, self.next)),
+        )]
+    }
+
+    fn resume(
+        &mut self,
+        host: &(usize, Name, Incarnation),
+        send: &Send,
+        origin: Attempt,
+        offset: u64,
+    ) -> Vec<(Duration, Effect)> {
+        let reply = |status| {
+            let head = Event::Head {
+                status,
+                headers: Arc::new([]),
+            };
+            (ms(1), Effect::Event(host.0, host.2, send.attempt, head))
+        };
+        let found = self
+            .streams
+            .values_mut()
+            .find(|stream| stream.host == *host && stream.origin == origin);
+        let Some(stream) = found else {
+            return vec![reply(404)];
+        };
+        stream.reader = Some(send.attempt);
+        stream.given = usize::try_from(offset).unwrap();
+        let mut effects = vec![reply(200)];
+        effects.extend(give(stream, ms(2)));
+        effects
+    }
+
+    fn proceed(&mut self, id: u64) -> Vec<(Duration, Effect)> {
+        let again = (self.gap, Effect::Job(Job::Next(self.incarnation, id)));
+        let Some(stream) = self.streams.get_mut(&id) else {
+            return Vec::new();
+        };
+        if !stream.running {
+            return vec![again];
+        }
+        let mut effects = Vec::new();
+        if stream.parts == 0
+            && let Some(reader) = stream.reader
+        {
+            let head = Event::Head {
+                status: 200,
+                headers: Arc::new([]),
+            };
+            let event = Effect::Event(stream.host.0, stream.host.2, reader, head);
+            effects.push((ms(1), event));
+        }
+        let last = stream.parts + 1 == self.chunks;
+        let tail = if last { "|end" } else { "" };
+        let part = format!(
+            "{}|{}.{}.{}|{}{tail};",
+            stream.name, self.name, self.incarnation, stream.run, stream.parts
+        );
+        stream.body.extend_from_slice(part.as_bytes());
+        stream.parts += 1;
+        stream.whole = last;
+        if last {
+            self.runs[stream.run].whole = true;
+        }
+        effects.extend(give(stream, ms(1)));
+        if self.break_after == Some(stream.parts) {
+            self.break_after = None;
+            if let Some(reader) = stream.reader.take() {
+                let broken = Event::Fault(Fault::Broken);
+                let event = Effect::Event(stream.host.0, stream.host.2, reader, broken);
+                effects.push((ms(2), event));
+            }
+        }
+        if self.mute_after == Some(stream.parts) {
+            self.mute_after = None;
+            stream.reader = None;
+        }
+        if last {
+            self.promote();
+        } else {
+            effects.push(again);
+        }
+        effects
+    }
+}
+
+fn give(stream: &mut Stream, after: Duration) -> Vec<(Duration, Effect)> {
+    let Some(reader) = stream.reader else {
+        return Vec::new();
+    };
+    let mut effects = Vec::new();
+    let mut push = |event| {
+        let event = Effect::Event(stream.host.0, stream.host.2, reader, event);
+        effects.push((after, event));
+    };
+    if stream.given < stream.body.len() {
+        push(Event::Chunk(Bytes::copy_from_slice(
+            &stream.body[stream.given..],
+        )));
+    }
+    if stream.whole {
+        push(Event::End);
+    }
+    stream.given = stream.body.len();
+    effects
+}
--- /dev/null
+++ b/crates/route/tests/path.rs
@@ -0,0 +1,102 @@
+//! The plain path: from arrival to the whole answer, and refusals without an attempt.
+
+mod common;
+
+use common::{World, ms, row};
+use mulberryrack_core::{
+    caller::Answer,
+    claim::End,
+    note::Counter,
+    outcome::{Outcome, Reason},
+    request::Key,
+};
+use mulberryrack_route::{Input, Output, Router, Settings};
+use mulberryrack_table::Kind;
+
+fn world() -> World {
+    let mut booking = row("booking", Kind::Service);
+    booking.repeatable = false;
+    let rows = vec![
+        row("alpha", Kind::Model),
+        row("check", Kind::Service),
+        booking,
+    ];
+    let mut world = World::new(1, 2, rows);
+    world.engine("engine-0", 4, &["alpha"]);
+    world.service("check-0", 4, "check");
+    world.service("booking-0", 4, "booking");
+    world
+}
+
+#[test]
+fn a_streamed_answer_comes_whole() {
+    let mut world = world();
+    let id = world.ask(0, "alpha", "alpha 1");
+    world.run(ms(2_000));
+    world.check_whole(id);
+    assert_eq!(world.runs("alpha 1"), 1);
+    assert_eq!(world.count(Counter::Ran), 1);
+}
+
+#[test]
+fn services_are_routed_by_group() {
+    let mut world = world();
+    let id = world.ask(1, "check", "check 1");
+    world.run(ms(2_000));
+    world.check_whole(id);
+}
+
+#[test]
+fn a_booking_runs_by_one_grant_and_reports_its_end() {
+    let mut world = world();
+    let id = world.order(0, "booking", "booking 1", "key-1");
+    world.run(ms(2_000));
+    world.check_whole(id);
+    assert_eq!(world.runs("booking 1"), 1);
+    assert_eq!(world.hosts[0].done[&id.1], [End::Ran]);
+}
+
+#[test]
+fn refusals_name_their_reason() {
+    let mut world = world();
+    let id = world.ask(0, "nothing", "nothing 1");
+    assert_eq!(world.told[&id].reason(), Some(Reason::UnknownTarget));
+
+    world.fake("engine-0").rows.clear();
+    world.publish_engine("engine-0");
+    let id = world.ask(0, "alpha", "alpha 1");
+    assert_eq!(world.told[&id].reason(), Some(Reason::NoCopy));
+    assert_eq!(world.count(Counter::Refused(Reason::NoCopy)), 1);
+}
+
+#[test]
+fn nothing_is_served_without_a_table() {
+    let now = mulberryrack_core::Time::ZERO;
+    let settings = Settings::default();
+    let mut router = Router::new(
+        settings,
+        "host-0".into(),
+        mulberryrack_core::Incarnation(1),
+        "hall-0".into(),
+        7,
+        now,
+    );
+    let request = world().request("alpha", "alpha 1", ms(1_000));
+    let mut out = Vec::new();
+    router.handle(now, Input::Arrive(request), &mut out);
+    let refused = out.iter().any(|output| {
+        matches!(output, Output::Caller { request: Key(1), answer: Answer::Final(Outcome::NotRun(refusal)) }
+            if refusal.reason == Reason::NoTable && refusal.retry_after.is_some())
+    });
+    assert!(refused, "{out:?}");
+}
+
+#[test]
+fn settings_read_strings_and_numbers_and_no_unknown_names() {
+    let read = |text: &str| serde_json::from_str::<Settings>(text);
+    let settings = read(r#"{"poll_ms": "250", "queue": 9, "urgent_reserve": "0.5"}"#).unwrap();
+    assert_eq!(settings.poll, ms(250));
+    assert_eq!(settings.queue, 9);
+    assert!((settings.urgent_reserve - 0.5).abs() < 1e-9);
+    assert!(read(r#"{"pol_ms": 250}"#).is_err());
+}
