--- /dev/null
+++ b/crates/client/src/cmd/completions.rs
@@ -0,0 +1,23 @@
+//! `mulberryrack completions`
+
+use crate::exit::{Code, Result};
+use clap::CommandFactory;
+use clap_complete::Shell;
+use std::io;
+
+/// Arguments of `mulberryrack completions`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// The shell.
+    shell: Shell,
+}
+
+impl Args {
+    /// Writes the script to the standard output.
+    #[allow(clippy::unnecessary_wraps)]
+    pub fn run(self) -> Result {
+        let mut command = crate::Args::command();
+        clap_complete::generate(self.shell, &mut command, "mulberryrack", &mut io::stdout());
+        Ok(Code::Done)
+    }
+}
--- /dev/null
+++ b/crates/client/src/cmd/explain.rs
@@ -0,0 +1,26 @@
+//! `mulberryrack explain`
+
+use crate::{
+    exit::Result,
+    link::{Link, Options},
+    print,
+};
+use mulberryrack_host::operator::Command;
+
+/// Arguments of `mulberryrack explain`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Name of a model or adapter.
+    row: String,
+    #[command(flatten)]
+    options: Options,
+}
+
+impl Args {
+    /// Asks a host about a row.
+    pub fn run(self) -> Result {
+        let row = self.row.into();
+        let answer = Link::open(&self.options)?.ask(&Command::Explain { row })?;
+        print::answer(&answer, self.options.json)
+    }
+}
--- /dev/null
+++ b/crates/client/src/cmd/status.rs
@@ -0,0 +1,23 @@
+//! `mulberryrack status`
+
+use crate::{
+    exit::Result,
+    link::{Link, Options},
+    print,
+};
+use mulberryrack_host::operator::Command;
+
+/// Arguments of `mulberryrack status`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    #[command(flatten)]
+    options: Options,
+}
+
+impl Args {
+    /// Asks a host for the state of the deployment.
+    pub fn run(self) -> Result {
+        let answer = Link::open(&self.options)?.ask(&Command::Status)?;
+        print::answer(&answer, self.options.json)
+    }
+}
--- a/crates/core/src/kv.rs
+++ b/crates/core/src/kv.rs
@@ -93,6 +93,23 @@
     },
 }
 
+impl Op {
+    /// The name used in metrics and on the wire.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Get { .. } => "get",
+            Self::List { .. } => "list",
+            Self::Put { .. } => "put",
+            Self::Delete { .. } => "delete",
+            Self::Watch { .. } => "watch",
+            Self::Grant { .. } => "grant",
+            Self::Renew { .. } => "renew",
+            Self::Revoke { .. } => "revoke",
+        }
+    }
+}
+
 /// What the service answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -80,3 +80,27 @@
     /// A frame from a former life, or for one, was dropped.
     FrameDropped,
 }
+
+impl Counter {
+    /// The name used in metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::Refused(reason) => reason.label(),
+            Self::Doubted(doubt) => doubt.label(),
+            Self::Retried(retry) => retry.label(),
+            Self::IntentRecorded => "intent-recorded",
+            Self::IntentWitnessed => "intent-witnessed",
+            Self::Joined => "joined",
+            Self::ShardTaken => "shard-taken",
+            Self::Move => "move",
+            Self::UpstreamDown => "upstream-down",
+            Self::UpstreamBack => "upstream-back",
+            Self::HostSuspected => "host-suspected",
+            Self::HostDead => "host-dead",
+            Self::TableAdopted => "table-adopted",
+            Self::FrameDropped => "frame-dropped",
+        }
+    }
+}
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -19,7 +19,8 @@
     #[must_use]
     pub const fn label(&self) -> &'static str {
         match self {
-            Self::Ran => "ran",
+            // It ran, only its answer is gone.
+            Self::Ran | Self::Unknown(Doubt::AnswerGone) => "ran",
             Self::NotRun(_) => "not-run",
             Self::Unknown(_) => "unknown",
         }
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,56 @@
+//! Metrics and health, on an address that callers do not reach.
+
+use crate::{
+    driver::{Inbox, Waiting},
+    metrics::Metrics,
+};
+use mulberryrack_host::Readiness;
+use std::{io, net::TcpListener, sync::Arc, thread};
+use tiny_http::{Response, Server};
+
+/// Serves `/metrics`, `/livez` and `/readyz` until the process ends.
+///
+/// # Errors
+///
+/// The listener cannot be used.
+pub fn serve(
+    listener: TcpListener,
+    inbox: Inbox,
+    waiting: Arc<Waiting>,
+    metrics: Arc<Metrics>,
+) -> io::Result<()> {
+    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+    thread::Builder::new()
+        .name("admin".to_owned())
+        .spawn(move || {
+            while let Ok(request) = server.recv() {
+                let response = answer(request.url(), &inbox, &waiting, &metrics);
+                let _ = request.respond(response);
+            }
+        })
+        .map(|_| ())
+}
+
+fn answer(
+    path: &str,
+    inbox: &Inbox,
+    waiting: &Waiting,
+    metrics: &Metrics,
+) -> Response<io::Cursor<Vec<u8>>> {
+    match path {
+        "/metrics" => Response::from_string(metrics.text(waiting.requests())),
+        // The loop answers, so the process lives.
+        "/livez" => match inbox.readiness() {
+            Some(_) => Response::from_string("live\n"),
+            None => Response::from_string("stopped\n").with_status_code(503),
+        },
+        "/readyz" => match inbox.readiness() {
+            Some(Readiness::Ready) => Response::from_string("ready\n"),
+            Some(Readiness::NoTable) => Response::from_string("no-table\n").with_status_code(503),
+            Some(Readiness::Stale) => Response::from_string("stale\n").with_status_code(503),
+            Some(Readiness::Leaving) => Response::from_string("leaving\n").with_status_code(503),
+            None => Response::from_string("stopped\n").with_status_code(503),
+        },
+        _ => Response::from_string("not found\n").with_status_code(404),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/args.rs
@@ -0,0 +1,99 @@
+//! Command line of the daemon.
+
+use crate::{Daemon, config::Config, logging};
+use clap::Parser;
+use mulberryrack_core::note::{Level, Note};
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use std::{path::PathBuf, process::ExitCode, thread};
+
+/// Exit code for settings that cannot be used.
+pub const EXIT_SETTINGS: u8 = 2;
+/// Exit code for a process ended by a second signal.
+pub const EXIT_KILLED: u8 = 3;
+
+/// Runs an entry host of mulberryrack.
+///
+/// SIGTERM or SIGINT lets the host leave: it serves until nobody can hold an answer
+/// that names it, then ends with 0. A second one ends it at once with 3. SIGHUP is
+/// ignored: settings are read at start only, the operators' table needs no signal.
+#[derive(Debug, Parser)]
+#[command(version)]
+pub struct Args {
+    /// File with the settings, in INI form.
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+    /// Only checks the settings: 0 if they can be used, 2 if not.
+    #[arg(long)]
+    pub check_config: bool,
+}
+
+/// Runs the daemon with the arguments of the process.
+#[must_use]
+pub fn main() -> ExitCode {
+    run(&Args::parse())
+}
+
+fn run(args: &Args) -> ExitCode {
+    let config = match Config::read(&args.config) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check_config {
+        println!("{}: the settings can be used", args.config.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = logging::start(&config.log) {
+        eprintln!("{error}");
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+    match Daemon::start(&config) {
+        Ok(daemon) => serve(daemon),
+        Err(error) => {
+            logging::write(
+                "host",
+                &Note::new(Level::Error, "start-failed").with("error", &error),
+            );
+            eprintln!("{error}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn serve(daemon: Daemon) -> ExitCode {
+    let leave = daemon.handle();
+    match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
+        Ok(mut signals) => {
+            thread::spawn(move || {
+                let mut leaving = false;
+                for signal in signals.forever() {
+                    logging::write(
+                        "host",
+                        &Note::new(Level::Info, "signal").with("number", signal),
+                    );
+                    if signal == SIGHUP {
+                        continue;
+                    }
+                    if leaving {
+                        std::process::exit(i32::from(EXIT_KILLED));
+                    }
+                    leaving = true;
+                    leave.drain();
+                }
+            });
+        }
+        Err(error) => {
+            logging::write(
+                "host",
+                &Note::new(Level::Error, "no-signals").with("error", &error),
+            );
+        }
+    }
+    daemon.wait();
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/daemon/src/caller.rs
@@ -0,0 +1,328 @@
+//! Serves callers over HTTP.
+
+use crate::{
+    config::Limits,
+    driver::{Clock, Inbox, Waiting},
+    response, upstream,
+};
+use bytes::Bytes;
+use mulberryrack_core::{
+    Name,
+    completion::{self, Completion},
+    hash,
+    note::{Level, Note},
+    outcome::{Outcome, Reason, Refusal},
+    request::{Call, Request},
+};
+use mulberryrack_host::Event;
+use serde_json::json;
+use std::{
+    io,
+    net::TcpListener,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use tiny_http::{Header, Method, Response, Server};
+
+const WHERE: &str = "/v1/where/";
+const SERVICES: &str = "/services/";
+
+/// Header with the caller's idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Header with the time to answer in milliseconds.
+pub const DEADLINE: &str = "mulberryrack-deadline-ms";
+
+/// Longest idempotency key in bytes.
+const MAX_KEY: usize = 256;
+/// Wait before serving again after the accept loop has ended.
+const RESTART: Duration = Duration::from_millis(100);
+/// Stack of a thread that serves one request, in bytes.
+const STACK: usize = 256 * 1024;
+/// When to come back after an overload.
+const RETRY_OVERLOAD: Duration = Duration::from_secs(1);
+
+/// What the threads that serve callers share.
+#[derive(Clone, Debug)]
+pub struct Edge {
+    /// Where events go.
+    pub inbox: Inbox,
+    /// Where answers come from.
+    pub waiting: Arc<Waiting>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+/// Serves callers on a listener until the process ends.
+///
+/// The library's accept loop ends for good at the first failure to accept, as when
+/// descriptors run out. Connections that it has taken go on; a new loop takes the next.
+///
+/// # Errors
+///
+/// The listener cannot be used.
+pub fn serve(listener: TcpListener, edge: Edge) -> io::Result<()> {
+    let again = listener.try_clone()?;
+    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+    thread::Builder::new()
+        .name("callers".to_owned())
+        .spawn(move || accept(&server, &again, &edge))
+        .map(|_| ())
+}
+
+fn accept(server: &Server, listener: &TcpListener, edge: &Edge) {
+    loop {
+        match server.recv() {
+            Ok(request) => start(request, edge),
+            Err(error) => {
+                let note = Note::new(Level::Warn, "accept-failed").with("error", &error);
+                crate::logging::write("caller", &note);
+                thread::sleep(RESTART);
+                let again = listener
+                    .try_clone()
+                    .and_then(|listener| serve(listener, edge.clone()));
+                if again.is_ok() {
+                    break;
+                }
+            }
+        }
+    }
+    // Connections taken by the ended loop go on sending requests here.
+    while let Ok(request) = server.recv() {
+        start(request, edge);
+    }
+}
+
+fn start(request: tiny_http::Request, edge: &Edge) {
+    if edge.waiting.requests() >= edge.limits.max_requests {
+        refuse(request, Reason::Overload, Some(RETRY_OVERLOAD));
+        return;
+    }
+    let edge = edge.clone();
+    // Without a thread the request is dropped, which closes its connection.
+    let _ = thread::Builder::new()
+        .name("caller".to_owned())
+        .stack_size(STACK)
+        .spawn(move || handle(request, &edge));
+}
+
+fn handle(request: tiny_http::Request, edge: &Edge) {
+    let path = request
+        .url()
+        .split('?')
+        .next()
+        .unwrap_or_default()
+        .to_owned();
+    if let Some(target) = path.strip_prefix(WHERE) {
+        return address(request, edge, target);
+    }
+    let to_model = matches!(&*path, completion::PATH | completion::CHAT_PATH);
+    if to_model && *request.method() == Method::Post {
+        return model(request, edge);
+    }
+    if let Some(rest) = request.url().strip_prefix(SERVICES) {
+        let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
+        let (target, path) = (name.into(), format!("/{tail}").into());
+        return service(request, edge, target, path);
+    }
+    let body = json!({"error": {
+        "message": format!("there is nothing at {path}"),
+        "type": "invalid_request_error",
+        "code": "not-found",
+        "param": null,
+    }});
+    let _ = request.respond(json_response(404, &body));
+}
+
+fn json_response(status: u16, body: &serde_json::Value) -> Response<io::Cursor<Vec<u8>>> {
+    let header = Header::from_bytes("content-type", "application/json")
+        .expect("a constant header is well formed");
+    Response::from_string(body.to_string())
+        .with_status_code(status)
+        .with_header(header)
+}
+
+fn refuse(request: tiny_http::Request, reason: Reason, retry_after: Option<Duration>) {
+    let outcome = Outcome::NotRun(Refusal {
+        reason,
+        retry_after,
+    });
+    let mut writer = request.into_writer();
+    let _ = response::last(&mut *writer, &outcome);
+}
+
+fn bad(request: tiny_http::Request, message: &str) {
+    let body = json!({"error": {
+        "message": message,
+        "type": "invalid_request_error",
+        "code": Reason::BadRequest.label(),
+        "param": null,
+    }, "outcome": "not-run"});
+    let outcome = Header::from_bytes("mulberryrack-outcome", "not-run")
+        .expect("a constant header is well formed");
+    let _ = request.respond(json_response(400, &body).with_header(outcome));
+}
+
+/// Answers which hosts to use.
+fn address(request: tiny_http::Request, edge: &Edge, target: &str) {
+    let (ticket, answers) = edge.waiting.address();
+    edge.inbox.put(Event::Where {
+        ticket,
+        target: target.into(),
+    });
+    match answers.recv() {
+        Ok(Ok(address)) => {
+            let body = json!({
+                "addresses": address.addresses,
+                "lifetime_ms": u64::try_from(address.lifetime.as_millis()).unwrap_or(u64::MAX),
+                "table_version": address.version,
+            });
+            let _ = request.respond(json_response(200, &body));
+        }
+        Ok(Err(reason)) => refuse(request, reason, None),
+        Err(_) => refuse(request, Reason::Draining, None),
+    }
+}
+
+fn model(mut request: tiny_http::Request, edge: &Edge) {
+    let body = match body(&mut request, &edge.limits) {
+        Ok(body) => body,
+        Err(message) => return bad(request, &message),
+    };
+    let asked = match Completion::read(request.url(), &body) {
+        Ok(asked) => asked,
+        Err(malformed) => return bad(request, &malformed.to_string()),
+    };
+    let path: Name = request.url().into();
+    let (key, answers) = edge.waiting.caller();
+    let arrived = Request {
+        key,
+        target: asked.model.clone(),
+        call: call(&request, path, body),
+        idempotency: None,
+        deadline: edge.clock.now(),
+        prefix: hash::prefix(&asked.model, &asked.prompt),
+        prompt_tokens: asked.prompt_tokens(),
+        answer_tokens: asked.max_tokens,
+    };
+    exchange(request, edge, arrived, &answers);
+}
+
+fn service(mut request: tiny_http::Request, edge: &Edge, target: Name, path: Name) {
+    let body = match body(&mut request, &edge.limits) {
+        Ok(body) => body,
+        Err(message) => return bad(request, &message),
+    };
+    let (key, answers) = edge.waiting.caller();
+    let arrived = Request {
+        key,
+        target,
+        call: call(&request, path, body),
+        idempotency: None,
+        deadline: edge.clock.now(),
+        prefix: Vec::new(),
+        prompt_tokens: 0,
+        answer_tokens: 0,
+    };
+    exchange(request, edge, arrived, &answers);
+}
+
+/// Sends the request into the host and its answer to the caller.
+fn exchange(
+    request: tiny_http::Request,
+    edge: &Edge,
+    mut arrived: Request,
+    answers: &std::sync::mpsc::Receiver<mulberryrack_core::caller::Answer>,
+) {
+    let key = arrived.key;
+    let idempotency = header(&request, IDEMPOTENCY_KEY).filter(|text| !text.is_empty());
+    if idempotency
+        .as_ref()
+        .is_some_and(|text| text.len() > MAX_KEY)
+    {
+        edge.waiting.forget(key);
+        return bad(request, "the idempotency key is longer than 256 bytes");
+    }
+    let allowed = match deadline(&request, &edge.limits) {
+        Ok(allowed) => allowed,
+        Err(message) => {
+            edge.waiting.forget(key);
+            return bad(request, &message);
+        }
+    };
+    arrived.idempotency = idempotency;
+    arrived.deadline = edge.clock.now() + allowed;
+    edge.inbox.put(Event::Request(arrived));
+    let mut writer = request.into_writer();
+    if let Err(response::Error::Caller) = response::stream(&mut *writer, answers) {
+        edge.inbox.put(Event::Gone(key));
+    }
+}
+
+fn header(request: &tiny_http::Request, name: &'static str) -> Option<Name> {
+    request
+        .headers()
+        .iter()
+        .find(|header| header.field.equiv(name))
+        .map(|header| header.value.as_str().into())
+}
+
+fn deadline(request: &tiny_http::Request, limits: &Limits) -> Result<Duration, String> {
+    let Some(text) = header(request, DEADLINE) else {
+        return Ok(limits.default_deadline);
+    };
+    let millis: u64 = text
+        .parse()
+        .map_err(|_| format!("{DEADLINE}: {text:?} is not a number of milliseconds"))?;
+    Ok(Duration::from_millis(millis).min(limits.max_deadline))
+}
+
+fn call(request: &tiny_http::Request, path: Name, body: Bytes) -> Call {
+    let headers: Vec<(Name, Name)> = request
+        .headers()
+        .iter()
+        .map(|header| {
+            let name: Name = header.field.as_str().as_str().to_ascii_lowercase().into();
+            (name, Name::from(header.value.as_str()))
+        })
+        .filter(|(name, _)| upstream::end_to_end(name) && **name != *DEADLINE)
+        .collect();
+    Call {
+        method: request.method().as_str().into(),
+        path,
+        headers: headers.into(),
+        body,
+    }
+}
+
+/// Reads the whole body within the bounds on size and time.
+fn body(request: &mut tiny_http::Request, limits: &Limits) -> Result<Bytes, String> {
+    let too_long = || format!("the body is longer than {} bytes", limits.max_body_bytes);
+    if request
+        .body_length()
+        .is_some_and(|length| length > limits.max_body_bytes)
+    {
+        return Err(too_long());
+    }
+    let begin = Instant::now();
+    let mut body = Vec::new();
+    let mut part = [0; 16 * 1024];
+    loop {
+        let length = request
+            .as_reader()
+            .read(&mut part)
+            .map_err(|error| format!("the body could not be read: {error}"))?;
+        if length == 0 {
+            return Ok(body.into());
+        }
+        body.extend_from_slice(&part[..length]);
+        if body.len() > limits.max_body_bytes {
+            return Err(too_long());
+        }
+        if begin.elapsed() > limits.body_timeout {
+            return Err("the body was not sent in time".to_owned());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,366 @@
+//! Settings of the daemon, read from an INI file and checked whole at start.
+
+use ini::{Ini, Properties};
+use mulberryrack_host::Settings;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::{Map, Value};
+use serde_with::{DisplayFromStr, DurationMilliSeconds, PickFirst, serde_as};
+use std::{fmt, path::Path, sync::Arc, time::Duration};
+
+/// All settings of a daemon.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Who the host is and where it listens.
+    pub host: Host,
+    /// Where the platform's services are.
+    pub platform: Platform,
+    /// Bounds on what callers may use.
+    pub limits: Limits,
+    /// Certificates of hosts and operators.
+    pub tls: Tls,
+    /// What is logged.
+    pub log: Log,
+    /// Settings of the decision areas: `[member]`, `[ledger]`, `[route]`, `[place]`.
+    pub areas: Settings,
+}
+
+/// `[host]`: who the host is and where it listens.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Host {
+    /// Unique name of the host.
+    pub name: Arc<str>,
+    /// Data centre that it stands in.
+    pub data_centre: Arc<str>,
+    /// `IP:port` for callers; port 0 takes a free one.
+    pub caller_address: Arc<str>,
+    /// `IP:port` for peers and operators.
+    pub peer_address: Arc<str>,
+    /// `IP:port` for metrics and health; callers must not reach it.
+    pub admin_address: Arc<str>,
+}
+
+/// `[platform]`: where the platform's services are.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Platform {
+    /// Base URL of the key-value service.
+    pub kv_url: Arc<str>,
+    /// Base URL of the list of machines.
+    pub list_url: Arc<str>,
+    /// Time between reads of the list.
+    #[serde(rename = "list_interval_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub list_interval: Duration,
+    /// Time after which a call has no answer; a watch may take its wait longer.
+    #[serde(rename = "kv_timeout_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub kv_timeout: Duration,
+    /// Most calls to the key-value service at once.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    pub kv_calls: usize,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            kv_url: "".into(),
+            list_url: "".into(),
+            list_interval: Duration::from_secs(2),
+            kv_timeout: Duration::from_secs(2),
+            kv_calls: 32,
+        }
+    }
+}
+
+/// `[limits]`: bounds on what callers may use.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Largest request body in bytes.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    pub max_body_bytes: usize,
+    /// Most requests served at once; one more is refused as `overload`.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    pub max_requests: usize,
+    /// Time to answer where the caller sends no deadline.
+    #[serde(rename = "default_deadline_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub default_deadline: Duration,
+    /// Longest time to answer that a caller may ask for.
+    #[serde(rename = "max_deadline_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub max_deadline: Duration,
+    /// Time for a caller to send the body.
+    #[serde(rename = "body_timeout_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub body_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 1 << 20,
+            max_requests: 2_000,
+            default_deadline: Duration::from_secs(60),
+            max_deadline: Duration::from_secs(600),
+            body_timeout: Duration::from_secs(20),
+        }
+    }
+}
+
+/// `[tls]`: files with the certificates of hosts and operators, in PEM form. Without
+/// them hosts talk in plain text, which is allowed on loopback only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tls {
+    /// Certificate of the authority that signs all others.
+    pub authority_file: Arc<str>,
+    /// Certificate of this host, with those between it and the authority.
+    pub certificate_file: Arc<str>,
+    /// Key of this host.
+    pub key_file: Arc<str>,
+}
+
+impl Tls {
+    /// Whether any file is named.
+    #[must_use]
+    pub fn named(&self) -> bool {
+        *self != Self::default()
+    }
+}
+
+/// `[log]`: what is logged.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// `error`, `warn`, `info`, `debug` or `off`.
+    pub level: Arc<str>,
+    /// Levels by target, as `route=debug,member=warn`.
+    pub targets: Arc<str>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: "info".into(),
+            targets: "".into(),
+        }
+    }
+}
+
+/// Why settings cannot be used: every problem found, in the order of the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// One line each.
+    pub problems: Vec<String>,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.problems.join("\n"))
+    }
+}
+
+impl std::error::Error for Error {}
+
+const SECTIONS: [&str; 9] = [
+    "host", "platform", "limits", "tls", "log", "member", "ledger", "route", "place",
+];
+
+impl Config {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Every problem, each with the section and key.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).map_err(|error| Error {
+            problems: vec![format!("{}: {error}", path.display())],
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Reads only the sections of the areas, as for a replay.
+    ///
+    /// # Errors
+    ///
+    /// Every problem in them, each with the section and key.
+    pub fn areas(text: &str) -> Result<Settings, Error> {
+        let ini = load(text)?;
+        let mut problems = Vec::new();
+        let areas = areas(&ini, &mut problems);
+        if problems.is_empty() {
+            Ok(areas)
+        } else {
+            Err(Error { problems })
+        }
+    }
+
+    /// Checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Every problem, each with the section and key.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let ini = load(text)?;
+        let mut problems = unknown_sections(&ini);
+        let config = Self {
+            host: section(&ini, "host", &mut problems),
+            platform: section(&ini, "platform", &mut problems),
+            limits: section(&ini, "limits", &mut problems),
+            tls: section(&ini, "tls", &mut problems),
+            log: section(&ini, "log", &mut problems),
+            areas: areas(&ini, &mut problems),
+        };
+        config.check(&mut problems);
+        if problems.is_empty() {
+            Ok(config)
+        } else {
+            Err(Error { problems })
+        }
+    }
+
+    fn check(&self, problems: &mut Vec<String>) {
+        let texts = [
+            ("host", "name", &self.host.name),
+            ("host", "data_centre", &self.host.data_centre),
+            ("platform", "kv_url", &self.platform.kv_url),
+            ("platform", "list_url", &self.platform.list_url),
+        ];
+        for (section, key, _) in texts.iter().filter(|(.., text)| text.is_empty()) {
+            problems.push(format!("[{section}] {key} is missing"));
+        }
+        let addresses = [
+            ("caller_address", &self.host.caller_address),
+            ("peer_address", &self.host.peer_address),
+            ("admin_address", &self.host.admin_address),
+        ];
+        for (key, address) in addresses {
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                problems.push(format!(
+                    "[host] {key} = {address:?} is not an IP number with a port"
+                ));
+            }
+        }
+        self.check_tls(problems);
+        if self.limits.max_requests == 0 || self.platform.kv_calls == 0 {
+            problems
+                .push("[limits] max_requests and [platform] kv_calls must be at least 1".into());
+        }
+    }
+}
+
+impl Config {
+    fn check_tls(&self, problems: &mut Vec<String>) {
+        let files = [
+            ("authority_file", &self.tls.authority_file),
+            ("certificate_file", &self.tls.certificate_file),
+            ("key_file", &self.tls.key_file),
+        ];
+        if self.tls.named() {
+            for (key, path) in files {
+                if let Err(error) = std::fs::File::open(&**path) {
+                    problems.push(format!("[tls] {key} = {path:?}: {error}"));
+                }
+            }
+            return;
+        }
+        let address = self.host.peer_address.parse::<std::net::SocketAddr>();
+        if address.is_ok_and(|address| !address.ip().is_loopback()) {
+            problems.push(format!(
+                "[tls] must be set: [host] peer_address = {:?} is not on loopback",
+                self.host.peer_address
+            ));
+        }
+    }
+}
+
+fn load(text: &str) -> Result<Ini, Error> {
+    Ini::load_from_str(text).map_err(|error| Error {
+        problems: vec![format!("settings: {error}")],
+    })
+}
+
+fn areas(ini: &Ini, problems: &mut Vec<String>) -> Settings {
+    Settings {
+        member: section(ini, "member", problems),
+        ledger: section(ini, "ledger", problems),
+        route: section(ini, "route", problems),
+        place: section(ini, "place", problems),
+    }
+}
+
+fn unknown_sections(ini: &Ini) -> Vec<String> {
+    ini.sections()
+        .flatten()
+        .filter(|name| !SECTIONS.contains(name))
+        .map(|name| {
+            format!(
+                "[{name}] is not a section{}",
+                nearest(name, SECTIONS.into_iter())
+            )
+        })
+        .collect()
+}
+
+/// Reads one section over the defaults; notes every unknown key and wrong value.
+fn section<T>(ini: &Ini, name: &str, problems: &mut Vec<String>) -> T
+where
+    T: Default + Serialize + DeserializeOwned,
+{
+    let Some(properties) = ini.section(Some(name)) else {
+        return T::default();
+    };
+    let known = match serde_json::to_value(T::default()) {
+        Ok(Value::Object(map)) => map,
+        _ => Map::new(),
+    };
+    let before = problems.len();
+    check_keys::<T>(name, properties, &known, problems);
+    if problems.len() > before {
+        return T::default();
+    }
+    let map: Map<String, Value> = properties
+        .iter()
+        .map(|(key, value)| (key.to_owned(), Value::from(value)))
+        .collect();
+    serde_json::from_value(Value::Object(map)).unwrap_or_else(|error| {
+        problems.push(format!("[{name}]: {error}"));
+        T::default()
+    })
+}
+
+fn check_keys<T: DeserializeOwned>(
+    name: &str,
+    properties: &Properties,
+    known: &Map<String, Value>,
+    problems: &mut Vec<String>,
+) {
+    for (key, value) in properties {
+        if !known.contains_key(key) {
+            let hint = nearest(key, known.keys().map(String::as_str));
+            problems.push(format!("[{name}] {key} is not a setting{hint}"));
+            continue;
+        }
+        let alone = Map::from_iter([(key.to_owned(), Value::from(value))]);
+        if serde_json::from_value::<T>(Value::Object(alone)).is_err() {
+            let example = &known[key];
+            problems.push(format!(
+                "[{name}] {key} = {value:?} cannot be used; the default is {example}"
+            ));
+        }
+    }
+}
+
+fn nearest<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> String {
+    known
+        .map(|candidate| (strsim::damerau_levenshtein(word, candidate), candidate))
+        .filter(|(distance, candidate)| *distance <= candidate.len().div_ceil(2))
+        .min()
+        .map_or_else(String::new, |(_, candidate)| {
+            format!("; did you mean {candidate}?")
+        })
+}
--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,78 @@
+//! Logs: one line of key=value pairs for each event.
+
+use crate::config::Log;
+use log::LevelFilter;
+use log4rs::{
+    append::console::{ConsoleAppender, Target},
+    config::{Appender, Config, Logger, Root},
+    encode::pattern::PatternEncoder,
+};
+use mulberryrack_core::note::{Level, Note};
+use std::fmt::Write;
+
+const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} target={t} {m}{n}";
+
+/// Starts logging to the standard error stream.
+///
+/// # Errors
+///
+/// A line that names the level or target that cannot be used.
+pub fn start(settings: &Log) -> Result<(), String> {
+    let stderr = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(PatternEncoder::new(PATTERN)))
+        .build();
+    let mut config =
+        Config::builder().appender(Appender::builder().build("stderr", Box::new(stderr)));
+    for pair in settings.targets.split(',').filter(|pair| !pair.is_empty()) {
+        let (target, word) = pair
+            .split_once('=')
+            .ok_or_else(|| format!("[log] targets: {pair:?} is not target=level"))?;
+        config = config.logger(Logger::builder().build(target.trim(), level(word.trim())?));
+    }
+    let root = Root::builder()
+        .appender("stderr")
+        .build(level(&settings.level)?);
+    let config = config.build(root).map_err(|error| error.to_string())?;
+    log4rs::init_config(config)
+        .map(|_| ())
+        .map_err(|error| error.to_string())
+}
+
+fn level(word: &str) -> Result<LevelFilter, String> {
+    word.parse()
+        .map_err(|_| format!("[log] level {word:?} is not one of off, error, warn, info, debug"))
+}
+
+/// Logs a note under a target.
+pub fn write(target: &str, note: &Note) {
+    let level = match note.level {
+        Level::Error => log::Level::Error,
+        Level::Warn => log::Level::Warn,
+        Level::Info => log::Level::Info,
+        Level::Debug => log::Level::Debug,
+    };
+    if !log::log_enabled!(target: target, level) {
+        return;
+    }
+    log::log!(target: target, level, "{}", line(note));
+}
+
+/// A note as key=value pairs; values with spaces, quotes or equals signs are quoted.
+#[must_use]
+pub fn line(note: &Note) -> String {
+    let mut text = format!("event={}", note.event);
+    for (key, value) in &note.fields {
+        let plain = !value.is_empty()
+            && !value
+                .chars()
+                .any(|c| c.is_whitespace() || c.is_control() || matches!(c, '"' | '='));
+        // Writing to a string cannot fail.
+        let _ = if plain {
+            write!(text, " {key}={value}")
+        } else {
+            write!(text, " {key}={value:?}")
+        };
+    }
+    text
+}
--- /dev/null
+++ b/crates/host/src/actors/ledger.rs
@@ -0,0 +1,85 @@
+//! The ledger as an actor.
+
+use super::{Router, Shared, alarm::Alarm};
+use crate::{Area, Effect};
+use mulberryrack_ledger::{Input, Output};
+use mulberryrack_wire::peer::envelope::Body;
+use stakker::{Actor, CX, at, call};
+
+/// Runs [`mulberryrack_ledger::Ledger`] and gives its verdicts to the router.
+pub struct Ledger {
+    shared: Shared,
+    machine: mulberryrack_ledger::Ledger,
+    router: Option<Actor<Router>>,
+    alarm: Alarm,
+}
+
+impl Ledger {
+    /// Starts the actor.
+    #[allow(clippy::unnecessary_wraps)]
+    pub fn init(_: CX![], shared: Shared, machine: mulberryrack_ledger::Ledger) -> Option<Self> {
+        Some(Self {
+            shared,
+            machine,
+            router: None,
+            alarm: Alarm::default(),
+        })
+    }
+
+    /// Names the router that is told of verdicts.
+    pub fn link(&mut self, cx: CX![], router: Actor<Router>) {
+        self.router = Some(router);
+        self.input(cx, Input::Wake);
+    }
+
+    /// Feeds one input and passes on what comes of it.
+    pub fn input(&mut self, cx: CX![], input: Input) {
+        let now = self.shared.now(cx);
+        let mut outputs = Vec::new();
+        self.machine.handle(now, input, &mut outputs);
+        for output in outputs {
+            self.output(cx, output);
+        }
+        let base = self.shared.base;
+        let this = cx.this().clone();
+        self.alarm
+            .set(cx, base, self.machine.next_wake(), |core, instant| {
+                at!(instant, [this, core], wake())
+            });
+    }
+
+    fn wake(&mut self, cx: CX![]) {
+        self.alarm.fired();
+        self.input(cx, Input::Wake);
+    }
+
+    fn output(&mut self, cx: CX![], output: Output) {
+        let shared = self.shared.clone();
+        match output {
+            Output::Frame {
+                to,
+                incarnation,
+                frame,
+            } => shared.send(cx, &to, incarnation, Body::Ledger(frame)),
+            Output::Kv { token, op } => shared.emit(
+                cx,
+                Effect::Kv {
+                    area: Area::Ledger,
+                    token,
+                    op,
+                },
+            ),
+            Output::Verdict { request, verdict } => {
+                if let Some(router) = &self.router {
+                    call!(
+                        [router],
+                        input(mulberryrack_route::Input::Verdict { request, verdict })
+                    );
+                }
+            }
+            Output::Left => shared.drain.rw(cx).ledger_left = true,
+            Output::Note(note) => shared.emit(cx, Effect::Note(note)),
+            Output::Count(counter) => shared.emit(cx, Effect::Count(counter)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/traffic.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -1,12 +1,12 @@
 //! Settings of the membership area: section `[member]`.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, DurationMilliSeconds, PickFirst, serde_as};
 use std::time::Duration;
 
 /// Settings of the membership area.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Time between two probes that this host starts.
--- /dev/null
+++ b/crates/replay/src/naive.rs
@@ -0,0 +1,420 @@
+//! The baseline: static placement by the table's shares, round robin, ceilings by host,
+//! no reservation for urgent work, and a load on demand for a row that has no copy.
+//!
+//! It records nothing, so it may run a request twice, and it counts memory only by what
+//! it saw last.
+
+use crate::world::Deployment;
+use mulberryrack_core::{
+    Name, Time,
+    caller::Answer,
+    node::{Listing, Role},
+    outcome::{Outcome, Reason, Refusal},
+    request::{self, Request},
+    upstream::{self, Action, Attempt, Connection, Contact, Order, Residency, Send},
+};
+use mulberryrack_host::{Effect, Event};
+use mulberryrack_member::Address;
+use mulberryrack_table::{Kind, Row, csv};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+/// Time between polls of the engines.
+const POLL: Duration = Duration::from_secs(1);
+/// How long an address answer may be kept.
+const LIFETIME: Duration = Duration::from_secs(10);
+/// When a caller is told to come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Ids of orders of one host.
+const ORDERS_PER_HOST: u64 = 1 << 32;
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    listing: Option<Listing>,
+    /// Row and version with whether it is ready, as last seen or ordered.
+    residents: BTreeMap<Name, (u64, bool)>,
+    used_mb: u64,
+    last_use: BTreeMap<Name, Time>,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    request: Request,
+    begun: bool,
+    retried: bool,
+}
+
+/// A host of the baseline.
+#[derive(Debug)]
+pub struct Host {
+    /// Index of the host; the first one orders the static placement.
+    index: usize,
+    hosts: Vec<Listing>,
+    rows: BTreeMap<Name, Row>,
+    engines: Vec<Engine>,
+    services: Vec<Listing>,
+    turn: usize,
+    running: BTreeMap<Name, u32>,
+    attempts: BTreeMap<Attempt, request::Key>,
+    open: BTreeMap<request::Key, Open>,
+    waiting: VecDeque<request::Key>,
+    next: u64,
+    next_poll: Time,
+}
+
+impl Host {
+    /// A host that knows the deployment's first table.
+    #[must_use]
+    pub fn new(index: usize, deployment: &Deployment) -> Self {
+        let of = |role: Role| -> Vec<Listing> {
+            let machines = deployment.machines.iter();
+            machines.filter(|one| one.role == role).cloned().collect()
+        };
+        let engines = of(Role::Engine)
+            .into_iter()
+            .map(|listing| Engine {
+                listing: Some(listing),
+                ..Engine::default()
+            })
+            .collect();
+        Self {
+            index,
+            hosts: of(Role::Host),
+            rows: BTreeMap::new(),
+            engines,
+            services: of(Role::Service),
+            turn: index,
+            running: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            open: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            next: index as u64 * ORDERS_PER_HOST,
+            next_poll: Time::ZERO,
+        }
+    }
+
+    /// When it wants to be woken.
+    #[must_use]
+    pub const fn next_wake(&self) -> Option<Time> {
+        Some(self.next_poll)
+    }
+
+    /// Takes an event and returns the effects.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Where { ticket, .. } => out.push(Effect::Address {
+                ticket,
+                answer: Ok(Address {
+                    addresses: self.hosts.iter().map(|host| host.address.clone()).collect(),
+                    lifetime: LIFETIME,
+                    version: 1,
+                }),
+            }),
+            Event::Request(request) => self.arrive(now, request, &mut out),
+            Event::Attempt { attempt, event } => self.attempt(now, attempt, event, &mut out),
+            Event::Contact {
+                upstream, contact, ..
+            } => self.report(now, &upstream, contact, &mut out),
+            Event::Operator {
+                command: mulberryrack_host::operator::Command::Accept { csv, .. },
+                ..
+            } => self.accept(&csv, &mut out),
+            Event::Wake if now >= self.next_poll => self.poll(now, &mut out),
+            _ => {}
+        }
+        out
+    }
+
+    fn poll(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.next_poll = now + POLL;
+        let engines = self.engines.iter().filter_map(|one| one.listing.as_ref());
+        out.extend(engines.map(|listing| Effect::Poll {
+            upstream: listing.name.clone(),
+            address: listing.address.clone(),
+        }));
+    }
+
+    /// Takes a table; the first host orders as many copies as the shares ask for.
+    fn accept(&mut self, text: &str, out: &mut Vec<Effect>) {
+        let Ok(rows) = csv::parse(text) else {
+            return;
+        };
+        self.rows = rows
+            .iter()
+            .map(|row| (row.name.clone(), row.clone()))
+            .collect();
+        if self.index != 0 {
+            return;
+        }
+        let mut order: Vec<Row> = rows
+            .iter()
+            .filter(|row| row.kind != Kind::Service)
+            .cloned()
+            .collect();
+        order.sort_by_key(|row| (row.kind, std::cmp::Reverse(row.share)));
+        for row in order {
+            for _ in 0..row.share.clamp(1, row.max_copies.max(1)) {
+                self.place(&row, out);
+            }
+        }
+    }
+
+    /// Orders a load on the emptiest engine that has room.
+    fn place(&mut self, row: &Row, out: &mut Vec<Effect>) {
+        let fits = |engine: &&mut Engine| {
+            let total = engine.listing.as_ref().map_or(0, |one| one.memory_mb);
+            let base = row.base.as_ref();
+            !engine.residents.contains_key(&row.name)
+                && base.is_none_or(|base| engine.residents.contains_key(base))
+                && engine.used_mb + row.memory_mb <= total
+        };
+        let engine = self
+            .engines
+            .iter_mut()
+            .filter(fits)
+            .min_by_key(|engine| engine.used_mb);
+        if let Some(engine) = engine {
+            self.next += 1;
+            load(engine, row, self.next, out);
+        }
+    }
+
+    fn report(&mut self, now: Time, name: &str, contact: Contact, out: &mut Vec<Effect>) {
+        let engine = self.engines.iter_mut().find(|engine| {
+            let listing = engine.listing.as_ref();
+            listing.is_some_and(|listing| *listing.name == *name)
+        });
+        let (Some(engine), Contact::Report(report)) = (engine, contact) else {
+            return;
+        };
+        engine.residents = report
+            .residents
+            .iter()
+            .map(|one| {
+                let ready = one.state == Residency::Ready;
+                (one.row.clone(), (one.memory_mb, ready))
+            })
+            .collect();
+        engine.used_mb = engine.residents.values().map(|(memory, _)| memory).sum();
+        for _ in 0..self.waiting.len() {
+            if let Some(key) = self.waiting.pop_front() {
+                self.dispatch(now, key, out);
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Effect>) {
+        let key = request.key;
+        let Some(row) = self.rows.get(&request.target) else {
+            return refuse(key, Reason::UnknownTarget, out);
+        };
+        let running = self.running.entry(row.name.clone()).or_default();
+        let hosts = u32::try_from(self.hosts.len().max(1)).unwrap_or(1);
+        if *running >= (row.ceiling / hosts).max(1) {
+            return refuse(key, Reason::Ceiling, out);
+        }
+        *running += 1;
+        let open = Open {
+            request,
+            begun: false,
+            retried: false,
+        };
+        self.open.insert(key, open);
+        self.dispatch(now, key, out);
+    }
+
+    fn dispatch(&mut self, now: Time, key: request::Key, out: &mut Vec<Effect>) {
+        let Some(open) = self.open.get(&key) else {
+            return;
+        };
+        let request = open.request.clone();
+        if request.deadline <= now {
+            return self.finish(key, Outcome::NotRun(refusal(Reason::Deadline)), out);
+        }
+        let Some((upstream, address)) = self.choose(now, &request.target) else {
+            self.load_on_demand(now, &request.target, out);
+            return self.waiting.push_back(key);
+        };
+        self.next += 1;
+        let attempt = Attempt(self.next);
+        self.attempts.insert(attempt, key);
+        out.push(Effect::Send(Send {
+            attempt,
+            upstream,
+            address,
+            call: request.call,
+            connection: Connection::Pooled,
+            resume: None,
+        }));
+    }
+
+    /// The next upstream in turn that has the row.
+    fn choose(&mut self, now: Time, target: &Name) -> Option<(Name, Name)> {
+        self.turn += 1;
+        let row = self.rows.get(target)?;
+        if row.kind == Kind::Service {
+            let replicas: Vec<&Listing> = self
+                .services
+                .iter()
+                .filter(|one| one.group == row.name)
+                .collect();
+            let chosen = replicas.get(self.turn % replicas.len().max(1))?;
+            return Some((chosen.name.clone(), chosen.address.clone()));
+        }
+        let ready: Vec<usize> = (0..self.engines.len())
+            .filter(|index| {
+                let resident = self.engines[*index].residents.get(target);
+                resident.is_some_and(|(_, ready)| *ready)
+            })
+            .collect();
+        let chosen = *ready.get(self.turn % ready.len().max(1))?;
+        let engine = &mut self.engines[chosen];
+        engine.last_use.insert(target.clone(), now);
+        let listing = engine.listing.as_ref()?;
+        Some((listing.name.clone(), listing.address.clone()))
+    }
+
+    /// Loads a row on the engine of its name, over the row unused for longest there.
+    fn load_on_demand(&mut self, now: Time, target: &Name, out: &mut Vec<Effect>) {
+        let Some(row) = self.rows.get(target).cloned() else {
+            return;
+        };
+        let wanted = |engine: &Engine| engine.residents.contains_key(target);
+        if self.engines.is_empty() || self.engines.iter().any(wanted) {
+            return;
+        }
+        let home = mulberryrack_core::hash::stable(target.as_bytes(), 0);
+        let count = self.engines.len() as u64;
+        let index = usize::try_from(home % count).unwrap_or(0);
+        let engine = &mut self.engines[index];
+        let total = engine.listing.as_ref().map_or(0, |one| one.memory_mb);
+        if engine.used_mb + row.memory_mb > total {
+            let oldest = engine
+                .residents
+                .keys()
+                .min_by_key(|name| engine.last_use.get(*name).copied().unwrap_or(Time::ZERO))
+                .cloned();
+            if let Some(oldest) = oldest {
+                self.next += 1;
+                let version = self.rows.get(&oldest).map(|row| row.version.clone());
+                unload(engine, &oldest, version.unwrap_or_default(), self.next, out);
+            }
+        }
+        engine.last_use.insert(target.clone(), now);
+        self.next += 1;
+        load(engine, &row, self.next, out);
+    }
+
+    fn attempt(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        event: upstream::Event,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(&key) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let Some(open) = self.open.get_mut(&key) else {
+            return;
+        };
+        match event {
+            upstream::Event::Head { status, headers } => {
+                open.begun = true;
+                let answer = Answer::Head { status, headers };
+                out.push(Effect::Caller {
+                    request: key,
+                    answer,
+                });
+            }
+            upstream::Event::Chunk(bytes) => out.push(Effect::Caller {
+                request: key,
+                answer: Answer::Chunk(bytes),
+            }),
+            upstream::Event::End => {
+                self.attempts.remove(&attempt);
+                self.finish(key, Outcome::Ran, out);
+            }
+            upstream::Event::Fault(_) => {
+                self.attempts.remove(&attempt);
+                if open.begun || open.retried {
+                    let doubt = mulberryrack_core::outcome::Doubt::UpstreamLost;
+                    return self.finish(key, Outcome::Unknown(doubt), out);
+                }
+                open.retried = true;
+                self.dispatch(now, key, out);
+            }
+        }
+    }
+
+    fn finish(&mut self, key: request::Key, outcome: Outcome, out: &mut Vec<Effect>) {
+        let Some(open) = self.open.remove(&key) else {
+            return;
+        };
+        if let Some(running) = self.running.get_mut(&open.request.target) {
+            *running = running.saturating_sub(1);
+        }
+        let answer = if open.begun {
+            Answer::End(outcome)
+        } else {
+            Answer::Final(outcome)
+        };
+        out.push(Effect::Caller {
+            request: key,
+            answer,
+        });
+    }
+}
+
+const fn refusal(reason: Reason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: Some(RETRY_AFTER),
+    }
+}
+
+fn refuse(key: request::Key, reason: Reason, out: &mut Vec<Effect>) {
+    out.push(Effect::Caller {
+        request: key,
+        answer: Answer::Final(Outcome::NotRun(refusal(reason))),
+    });
+}
+
+fn load(engine: &mut Engine, row: &Row, id: u64, out: &mut Vec<Effect>) {
+    engine
+        .residents
+        .insert(row.name.clone(), (row.memory_mb, false));
+    engine.used_mb += row.memory_mb;
+    let action = Action::Load {
+        row: row.name.clone(),
+        version: row.version.clone(),
+        memory_mb: row.memory_mb,
+        base: row.base.clone(),
+    };
+    order(engine, action, id, out);
+}
+
+fn unload(engine: &mut Engine, row: &Name, version: Name, id: u64, out: &mut Vec<Effect>) {
+    if let Some((memory, _)) = engine.residents.remove(row) {
+        engine.used_mb -= memory;
+    }
+    let row = row.clone();
+    order(engine, Action::Unload { row, version }, id, out);
+}
+
+fn order(engine: &Engine, action: Action, id: u64, out: &mut Vec<Effect>) {
+    if let Some(listing) = &engine.listing {
+        out.push(Effect::Order {
+            engine: listing.name.clone(),
+            address: listing.address.clone(),
+            order: Order {
+                id,
+                fence: u64::MAX,
+                action,
+            },
+        });
+    }
+}
--- /dev/null
+++ b/crates/replay/src/report.rs
@@ -0,0 +1,184 @@
+//! A replay's summary as text, and as one HTML page with plots.
+
+use crate::{judge::Summary, world::World};
+use mulberryrack_core::request::Priority;
+use plotters::{
+    chart::ChartBuilder,
+    prelude::{IntoDrawingArea, SVGBackend},
+    series::LineSeries,
+    style::{BLUE, Color, RED, RGBColor, WHITE},
+};
+use std::{error::Error, fmt::Write};
+
+const SIZE: (u32, u32) = (960, 320);
+/// Width of one point of a plot in seconds.
+const BIN_SECONDS: u64 = 5;
+
+/// The summary as lines for people.
+#[must_use]
+pub fn text(summary: &Summary) -> String {
+    let mut text = String::new();
+    for promise in &summary.promises {
+        let state = if promise.kept { "kept" } else { "BROKEN" };
+        let first = promise.first.as_deref().unwrap_or_default();
+        line(
+            &mut text,
+            &format!("promise {:<28} {state} {first}", promise.name),
+        );
+    }
+    for (priority, one) in &summary.attainment {
+        line(
+            &mut text,
+            &format!(
+                "attainment {:<7} {:.4} (asked {}, ran {}, met {})",
+                label(*priority),
+                one.share,
+                one.asked,
+                one.ran,
+                one.met
+            ),
+        );
+    }
+    let all = summary.all();
+    line(
+        &mut text,
+        &format!(
+            "attainment all     {:.4}, {:.4} met per accelerator and second",
+            all.share, summary.met_per_accelerator
+        ),
+    );
+    for (name, one) in [
+        ("first token", &summary.first_token_ms),
+        ("token gap", &summary.token_gap_ms),
+    ] {
+        line(
+            &mut text,
+            &format!(
+                "{name} ms: p50 {:.1}, p95 {:.1}, p99 {:.1}",
+                one.p50, one.p95, one.p99
+            ),
+        );
+    }
+    line(
+        &mut text,
+        &format!(
+            "loads {}, peak memory {:.3}, longest without a copy {:.1} s {}, table spread {:.2} s",
+            summary.loads,
+            summary.peak_memory,
+            summary.longest_missing.0,
+            summary.longest_missing.1,
+            summary.table_spread
+        ),
+    );
+    line(
+        &mut text,
+        &format!(
+            "key-value service: {:.1} writes and {:.1} reads a second; peers {:.0} bytes a second",
+            summary.kv_per_second.0, summary.kv_per_second.1, summary.peer_bytes_per_second
+        ),
+    );
+    for (name, count) in summary.counters.iter().chain(&summary.kv_calls) {
+        line(&mut text, &format!("count {name} {count}"));
+    }
+    text
+}
+
+fn line(text: &mut String, line: &str) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "{}", line.trim_end());
+}
+
+const fn label(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Urgent => "urgent",
+        Priority::Normal => "normal",
+        Priority::Bulk => "bulk",
+    }
+}
+
+/// The summary and its plots as a page that needs no other file.
+///
+/// # Errors
+///
+/// The plotting library fails.
+pub fn html(title: &str, world: &World, summary: &Summary) -> Result<String, Box<dyn Error>> {
+    let asked = series(world, |_| true);
+    let ran = series(world, crate::caller::Caller::ran);
+    let late = slowest(world);
+    Ok(format!(
+        "<!doctype html><meta charset=\"utf-8\"><title>{title}</title>\
+         <style>body{{font-family:sans-serif;max-width:62em;margin:2em auto}}\
+         pre{{background:#f4f4f4;padding:1em;overflow:auto}}</style>\
+         <h1>{title}</h1>\
+         <h2>Requests a second</h2><p>Asked in blue, of these answered in red.</p>{}\
+         <h2>Slowest first token in milliseconds</h2>{}\
+         <h2>Summary</h2><pre>{}</pre>",
+        plot(&[(&asked, BLUE), (&ran, RED)])?,
+        plot(&[(&late, BLUE)])?,
+        text(summary)
+    ))
+}
+
+/// Requests a second that began in each bin and fulfil a condition.
+fn series(world: &World, counts: impl Fn(&crate::caller::Caller) -> bool) -> Vec<(f64, f64)> {
+    bins(world, |bin, caller| {
+        if counts(caller) {
+            *bin += 1.0;
+        }
+    })
+    .into_iter()
+    .map(|(at, count)| (at, count / seconds(BIN_SECONDS)))
+    .collect()
+}
+
+fn slowest(world: &World) -> Vec<(f64, f64)> {
+    bins(world, |bin, caller| {
+        if let Some(first) = caller.first_part {
+            *bin = bin.max((first - caller.started).as_secs_f64() * 1_000.0);
+        }
+    })
+}
+
+fn bins(world: &World, mut add: impl FnMut(&mut f64, &crate::caller::Caller)) -> Vec<(f64, f64)> {
+    let bin = |micros: u64| micros / 1_000_000 / BIN_SECONDS;
+    let last = bin(world.now().as_micros());
+    let mut values = vec![0.0; usize::try_from(last).unwrap_or(0) + 1];
+    for caller in world.callers() {
+        let index = usize::try_from(bin(caller.started.as_micros())).unwrap_or(0);
+        add(&mut values[index], caller);
+    }
+    (0..)
+        .zip(values)
+        .map(|(index, value)| (seconds(index * BIN_SECONDS), value))
+        .collect()
+}
+
+#[allow(clippy::cast_precision_loss)]
+const fn seconds(value: u64) -> f64 {
+    value as f64
+}
+
+fn plot(lines: &[(&Vec<(f64, f64)>, RGBColor)]) -> Result<String, Box<dyn Error>> {
+    let points = || lines.iter().flat_map(|(line, _)| line.iter());
+    let right = points().map(|(x, _)| *x).fold(1.0, f64::max);
+    let top = points().map(|(_, y)| *y).fold(1.0, f64::max);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(10)
+            .x_label_area_size(30)
+            .y_label_area_size(50)
+            .build_cartesian_2d(0.0..right, 0.0..top * 1.05)?;
+        chart.configure_mesh().x_desc("seconds").draw()?;
+        for (line, colour) in lines {
+            chart.draw_series(LineSeries::new(
+                line.iter().copied(),
+                colour.stroke_width(1),
+            ))?;
+        }
+        area.present()?;
+    }
+    Ok(svg)
+}
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the router; see the guide page on route settings.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, DurationMilliSeconds, PickFirst, Same, serde_as};
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 
 /// Settings of the router. Numbers may be given as strings, durations in milliseconds.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Mean time between two polls of an upstream; each is drawn from half to one and a
