Ledger: another host keeps records when the successor is gone; records are handed in

Cause: when the named successor was lost in an outage, its shards refused claims to the end of the outage. Refusals also dropped records of a takeover that had not been written yet.

Change: with the successor gone, any other host keeps the records; nobody can take over before the owner is gone too, and then only with a quarantine. Whoever kept records hands them in to the next owner. A count of kept records replaces a mark on each; the first choice for a shard is worked out once a view.

--- a/crates/ledger/src/commit.rs
+++ b/crates/ledger/src/commit.rs
@@ -6,7 +6,6 @@
     log::{self, Chapter, Header},
     owner::Owner,
     record::{self, Kind, RECORD_BYTES, Record},
-    witness::Courier,
 };
 use bytes::Bytes;
 use mulberryrack_core::{
@@ -67,12 +66,7 @@
 
     /// Notes that the first records of the stream may be known outside.
     pub fn expose(&mut self, context: &Context, count: usize) {
-        let idle = self
-            .stream
-            .iter()
-            .take(self.exposed)
-            .all(|pending| pending.durable);
-        if idle && count > self.exposed {
+        if self.exposed <= self.kept && count > self.exposed {
             self.progress = context.now;
         }
         self.exposed = self.exposed.max(count);
@@ -126,12 +120,25 @@
         }
     }
 
-    /// Whether the entry on its way names another owner or successor.
-    pub fn reassigning(&self) -> bool {
-        self.flight.as_ref().is_some_and(|flight| {
-            flight.header.successor != self.header.successor
-                || flight.header.owner != self.header.owner
-        })
+    /// Whether the entry on its way names another owner.
+    pub fn handing_over(&self) -> bool {
+        self.flight
+            .as_ref()
+            .is_some_and(|flight| flight.header.owner != self.header.owner)
+    }
+
+    /// The successor once the entry on its way is written; nothing while the shard is
+    /// handed over.
+    #[allow(clippy::option_option)]
+    pub fn next_successor(&self) -> Option<Option<Life>> {
+        if self.handing_over() {
+            return None;
+        }
+        let header = self
+            .flight
+            .as_ref()
+            .map_or(&self.header, |flight| &flight.header);
+        Some(header.successor.clone())
     }
 
     /// Header of the next entry if nothing but the records changes.
@@ -154,7 +161,7 @@
         if self.stream.len() * RECORD_BYTES >= context.settings.entry_bytes as usize {
             return Some(context.now);
         }
-        self.stream.iter().map(|pending| pending.due).min()
+        self.soonest
     }
 
     fn flush(&mut self, context: &mut Context) {
@@ -168,11 +175,7 @@
         let count = records.len();
         let mut header = self.next_header(context);
         let all = count == self.stream.len();
-        let witnessed_later = self
-            .stream
-            .iter()
-            .skip(count)
-            .any(|pending| pending.durable);
+        let witnessed_later = self.kept > count;
         match self.closing.clone() {
             Some(closing) if count == 0 => self.hand_over(context, &mut header, closing.to),
             _ if all || !witnessed_later => self.name_successor(context, &mut header),
@@ -249,14 +252,14 @@
             context.note(Level::Info, "shard-taken", self.shard);
         }
         self.established = true;
-        if flight.header.successor != self.header.successor {
-            self.courier = Courier::default();
-        }
         self.committed = flight.header.first_record + flight.records.len() as u64;
         self.header = flight.header;
         self.exposed = self.exposed.saturating_sub(flight.streamed);
         let done: Vec<_> = self.stream.drain(..flight.streamed).collect();
-        for pending in done.iter().filter(|pending| !pending.durable) {
+        let kept = self.kept;
+        self.kept = kept.saturating_sub(flight.streamed);
+        self.soonest = self.stream.iter().map(|pending| pending.due).min();
+        for pending in done.iter().skip(kept) {
             self.harden(context, &pending.record);
         }
         if self.header.owner.as_ref() == Some(&context.me) {
--- a/crates/ledger/src/context.rs
+++ b/crates/ledger/src/context.rs
@@ -46,6 +46,8 @@
     pub out: Vec<Output>,
     pub leaving: bool,
     absent: BTreeMap<Name, Time>,
+    /// First choice of each shard under the current view, as far as asked for.
+    firsts: BTreeMap<u32, Option<Life>>,
     budget: Budget,
     rng: ChaCha8Rng,
     calls: u64,
@@ -83,6 +85,7 @@
             out: Vec::new(),
             leaving: false,
             absent: BTreeMap::new(),
+            firsts: BTreeMap::new(),
             budget: Budget {
                 tokens: 0.0,
                 filled: now,
@@ -155,6 +158,7 @@
     pub fn adopt(&mut self, view: Arc<View>) {
         self.absent.retain(|name, _| view.peer(name).is_none());
         self.view = view;
+        self.firsts.clear();
     }
 
     /// Whether a life can still act, as far as the view tells.
@@ -192,8 +196,19 @@
     }
 
     /// The first choice for a shard.
-    pub fn first(&self, shard: u32) -> Option<Life> {
-        self.ranking(shard).first().map(|peer| life(peer))
+    pub fn first(&mut self, shard: u32) -> Option<Life> {
+        if let Some(first) = self.firsts.get(&shard) {
+            return first.clone();
+        }
+        let first = self.ranking(shard).first().map(|peer| life(peer));
+        self.firsts.insert(shard, first.clone());
+        first
+    }
+
+    /// This host takes no new duties from here on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.firsts.clear();
     }
 
     /// The best successor for `owner` on a shard: in another data centre if there is one.
--- a/crates/ledger/src/handover.rs
+++ b/crates/ledger/src/handover.rs
@@ -13,7 +13,7 @@
     pub fn pump_closing(&mut self, context: &mut Context) -> Option<Time> {
         let failing = self.flight.as_ref().is_some_and(|flight| flight.failed);
         if !self.established || failing {
-            if !self.reassigning() {
+            if !self.handing_over() {
                 self.closing = None;
             }
             return None;
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -114,7 +114,7 @@
                 .claimant
                 .claim(&mut self.context, request, id, body, until),
             Input::Done { request, end } => self.claimant.done(&mut self.context, request, end),
-            Input::Leave => self.context.leaving = true,
+            Input::Leave => self.context.leave(),
         }
     }
 
@@ -181,6 +181,16 @@
                     shard.witness(context, from, &witness);
                 }
             }
+            Body::Merge(merge) => {
+                if let Some(shard) = self.shards.get_mut(merge.shard as usize) {
+                    shard.merge(context, from, &merge);
+                }
+            }
+            Body::Merged(merged) => {
+                if let Some(shard) = self.shards.get_mut(merged.shard as usize) {
+                    shard.merged(merged.epoch);
+                }
+            }
             Body::Witnessed(answer) => {
                 if let Some(shard) = self.shards.get_mut(answer.shard as usize) {
                     shard.witnessed(context, from, &answer);
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod life;
 mod log;
+mod merge;
 mod owner;
 mod port;
 mod record;
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -11,7 +11,7 @@
     witness::Courier,
 };
 use mulberryrack_core::{
-    Time, kv,
+    Time, earliest, kv,
     note::{Counter, Level},
     outcome::Doubt,
 };
@@ -46,8 +46,6 @@
     pub record: Record,
     /// When it should be written.
     pub due: Time,
-    /// Whether the successor keeps it.
-    pub durable: bool,
 }
 
 /// A question to the holder of an intent.
@@ -84,6 +82,10 @@
     pub committed: u64,
     /// How many records of `stream` the service or the successor may have.
     pub exposed: usize,
+    /// How many records of `stream` are durable with the successor; at most `exposed`.
+    pub kept: usize,
+    /// When the first record of `stream` should be written.
+    pub soonest: Option<Time>,
     /// The entry that is being written.
     pub flight: Option<Flight>,
     /// Copies to the successor.
@@ -121,6 +123,8 @@
             stream: VecDeque::new(),
             committed: 0,
             exposed: 0,
+            kept: 0,
+            soonest: None,
             flight: None,
             courier: Courier::default(),
             fold,
@@ -221,11 +225,9 @@
     pub fn push(&mut self, context: &mut Context, record: Record, delay: Duration) {
         let wall = context.wall_ms().max(self.header.stamp_ms);
         self.book.apply(&record, wall, State::Waiting);
-        self.stream.push_back(Pending {
-            record,
-            due: context.now + delay,
-            durable: false,
-        });
+        let due = context.now + delay;
+        self.soonest = earliest(self.soonest, Some(due));
+        self.stream.push_back(Pending { record, due });
     }
 
     /// A record has become durable: answers the claim that it is about.
@@ -269,12 +271,7 @@
 
     /// Refuses what waits when neither service nor successor has answered for long.
     pub fn pump_refusals(&mut self, context: &mut Context) -> Option<Time> {
-        let waits = self
-            .stream
-            .iter()
-            .take(self.exposed)
-            .any(|pending| !pending.durable);
-        if !waits || self.stuck {
+        if self.exposed <= self.kept || self.stuck {
             return None;
         }
         let limit = self.progress + context.settings.refuse_after;
@@ -321,7 +318,8 @@
         let pending = || {
             self.stream
                 .iter()
-                .any(|pending| pending.record.claim == waiter.claim && !pending.durable)
+                .skip(self.kept)
+                .any(|pending| pending.record.claim == waiter.claim)
         };
         match intent.state {
             State::Held => {
@@ -458,7 +456,7 @@
         let streamed = self
             .stream
             .iter()
-            .filter(|pending| !pending.durable)
+            .skip(self.kept)
             .filter(|pending| {
                 let kind = pending.record.kind;
                 matches!(kind, Kind::Intent | Kind::Gap | Kind::Probe)
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -206,6 +206,31 @@
         }
     }
 
+    /// A host hands in records that it kept for a former owner.
+    pub fn merge(&mut self, context: &mut Context, from: &Life, merge: &wire::Merge) {
+        if let Role::Owner(owner) = &mut self.role
+            && owner.established
+            && owner.header.epoch > merge.epoch
+        {
+            let packed = merge.records.clone().unwrap_or_default();
+            let records = record::unpack(&packed, &mut context.arena);
+            if owner.merge(context, &records) {
+                let merged = wire::Merged {
+                    shard: self.number,
+                    epoch: merge.epoch,
+                };
+                context.send(from, Body::Merged(merged));
+            }
+        }
+    }
+
+    /// The records that this host kept are in the log.
+    pub fn merged(&mut self, epoch: u64) {
+        if self.copy.as_ref().is_some_and(|copy| copy.epoch == epoch) {
+            self.copy = None;
+        }
+    }
+
     /// The key-value service has answered a call.
     pub fn kv(&mut self, context: &mut Context, token: kv::Token, outcome: kv::Outcome) {
         match &mut self.role {
@@ -266,6 +291,10 @@
         if context.view.peers.is_empty() {
             return self.check;
         }
+        self.hand_in(context);
+        if !matches!(self.role, Role::Idle) {
+            return self.check;
+        }
         let named = self
             .hint
             .as_ref()
@@ -289,6 +318,31 @@
         self.check
     }
 
+    /// Hands in records kept for an owner that has been superseded or is gone.
+    fn hand_in(&mut self, context: &mut Context) {
+        let Some(copy) = self.copy.as_ref().filter(|copy| !copy.records.is_empty()) else {
+            return;
+        };
+        let mine = copy.owner == context.me;
+        if !mine && !matches!(context.vital(&copy.owner), Vital::Dead | Vital::Gone) {
+            return;
+        }
+        let next = self.hint.as_ref().filter(|hint| hint.epoch > copy.epoch);
+        if let Some(owner) = next.and_then(|hint| hint.owner.clone()) {
+            let merge = wire::Merge {
+                shard: self.number,
+                epoch: copy.epoch,
+                records: Some(record::pack(copy.records.values(), &context.arena)),
+            };
+            context.send(&owner, Body::Merge(merge));
+            return;
+        }
+        let when = self.seen.as_ref().map(|(_, when)| *when);
+        if when.is_none_or(|when| context.now >= when + REREAD) {
+            self.read(context);
+        }
+    }
+
     /// Reads the log again if it may have changed: this host is first choice and does
     /// not own the shard, which never lasts.
     fn reread(&mut self, context: &mut Context, when: Time) {
@@ -356,6 +410,7 @@
                 context.note(Level::Warn, "shard-lost", self.number);
                 if let Role::Owner(mut owner) = std::mem::replace(&mut self.role, Role::Idle) {
                     owner.dismiss(context, owner.header.epoch, None);
+                    self.copy = owner.leftover(context);
                 }
                 self.read(context);
             }
--- a/crates/ledger/src/takeover.rs
+++ b/crates/ledger/src/takeover.rs
@@ -186,9 +186,11 @@
             .map(|record| Pending {
                 record: *record,
                 due: context.now,
-                durable: true,
             })
             .collect();
+        owner.soonest = Some(context.now);
+        owner.kept = kept.len();
+        owner.exposed = kept.len();
         if gap {
             context.note(Level::Warn, "shard-quarantined", shard);
         }
--- a/crates/ledger/src/witness.rs
+++ b/crates/ledger/src/witness.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Default)]
 pub struct Courier {
     batch: Option<Batch>,
+    /// Who keeps records.
+    keeper: Option<Life>,
     /// Whether the successor keeps records that it may drop once they are in the log.
     owing: bool,
 }
@@ -53,13 +55,14 @@
 impl Owner {
     /// Copies to the successor what has waited for the service too long.
     pub fn pump_witness(&mut self, context: &mut Context) -> Option<Time> {
-        if !self.established || !self.header.witness || self.reassigning() {
-            return None;
-        }
-        let successor = self.header.successor.clone()?;
-        if matches!(context.vital(&successor), Vital::Dead | Vital::Gone) {
-            return None;
+        let keeper = self.keeper(context);
+        if keeper != self.courier.keeper {
+            self.courier = Courier {
+                keeper,
+                ..Courier::default()
+            };
         }
+        let successor = self.courier.keeper.clone()?;
         self.drop_obsolete();
         if self.batch_due(context) {
             let batch = self.courier.batch.as_ref()?;
@@ -82,11 +85,8 @@
 
     /// The successor has answered.
     pub fn witnessed(&mut self, context: &mut Context, from: &Life, answer: &Witnessed) {
-        if answer.epoch != self.header.epoch || self.header.successor.as_ref() != Some(from) {
-            return;
-        }
-        // The next successor would not have these records.
-        if self.reassigning() {
+        let keeper = self.keeper(context);
+        if answer.epoch != self.header.epoch || keeper.as_ref() != Some(from) {
             return;
         }
         let matches = self.courier.batch.as_ref().is_some_and(|batch| {
@@ -103,10 +103,11 @@
         let end = usize::try_from(end)
             .unwrap_or(usize::MAX)
             .min(self.stream.len());
-        for index in start..end {
-            if std::mem::replace(&mut self.stream[index].durable, true) {
-                continue;
-            }
+        if start > self.kept {
+            return;
+        }
+        for index in self.kept..end {
+            self.kept = index + 1;
             let record = self.stream[index].record;
             if record.kind == Kind::Intent {
                 context.count(Counter::IntentWitnessed);
@@ -115,6 +116,34 @@
         }
     }
 
+    /// Who may keep records now: the successor that the log names. If that one is gone,
+    /// any other host: nobody can then take over before this host is gone too, and not
+    /// without a quarantine.
+    fn keeper(&self, context: &mut Context) -> Option<Life> {
+        if !self.established || !self.header.witness {
+            return None;
+        }
+        let next = self.next_successor()?;
+        let named = self.header.successor.clone();
+        let gone = match &named {
+            Some(named) => match context.vital(named) {
+                Vital::Able | Vital::Leaving => false,
+                Vital::Dead => return None,
+                Vital::Gone => true,
+            },
+            None => true,
+        };
+        if !gone {
+            // The successor that is being named would not have these records.
+            return named.filter(|named| next.as_ref() == Some(named));
+        }
+        if next != named {
+            return next;
+        }
+        let me = context.me.clone();
+        context.successor(self.shard, &me)
+    }
+
     /// Forgets a batch whose records have all come into the log meanwhile.
     fn drop_obsolete(&mut self) {
         let committed = self.committed;
@@ -136,13 +165,12 @@
     /// When the first record that is not durable has waited too long.
     fn late(&self, context: &Context) -> Option<Time> {
         self.stream
-            .iter()
-            .find(|pending| !pending.durable)
+            .get(self.kept)
             .map(|pending| pending.due + context.settings.witness_after)
     }
 
     fn copy(&mut self, context: &mut Context, successor: &Life) -> Option<Time> {
-        let start = self.stream.iter().position(|pending| !pending.durable)?;
+        let start = self.kept;
         let most = (context.settings.entry_bytes as usize / RECORD_BYTES).max(1);
         let count = (self.stream.len() - start).min(most);
         self.courier.batch = Some(Batch {
