--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -47,6 +47,8 @@
     /// The newest entry as last read, and when.
     seen: Option<(Option<Header>, Time)>,
     copy: Option<Copy>,
+    /// Whether a claim has come here since the log was read.
+    asked: bool,
     check: Time,
     swept: Time,
 }
@@ -60,6 +62,7 @@
             hint: None,
             seen: None,
             copy: None,
+            asked: false,
             check: now,
             swept: now,
         }
@@ -203,6 +206,31 @@
         }
     }
 
+    /// A host hands in records that it kept for a former owner.
+    pub fn merge(&mut self, context: &mut Context, from: &Life, merge: &wire::Merge) {
+        if let Role::Owner(owner) = &mut self.role
+            && owner.established
+            && owner.header.epoch > merge.epoch
+        {
+            let packed = merge.records.clone().unwrap_or_default();
+            let records = record::unpack(&packed, &mut context.arena);
+            if owner.merge(context, &records) {
+                let merged = wire::Merged {
+                    shard: self.number,
+                    epoch: merge.epoch,
+                };
+                context.send(from, Body::Merged(merged));
+            }
+        }
+    }
+
+    /// The records that this host kept are in the log.
+    pub fn merged(&mut self, epoch: u64) {
+        if self.copy.as_ref().is_some_and(|copy| copy.epoch == epoch) {
+            self.copy = None;
+        }
+    }
+
     /// The key-value service has answered a call.
     pub fn kv(&mut self, context: &mut Context, token: kv::Token, outcome: kv::Outcome) {
         match &mut self.role {
@@ -263,35 +291,80 @@
         if context.view.peers.is_empty() {
             return self.check;
         }
-        let concerned = context.first(self.number).as_ref() == Some(&context.me);
+        self.hand_in(context);
+        if !matches!(self.role, Role::Idle) {
+            return self.check;
+        }
+        let named = self
+            .hint
+            .as_ref()
+            .is_some_and(|hint| hint.owner.as_ref() == Some(&context.me));
+        let concerned = named || context.first(self.number).as_ref() == Some(&context.me);
         let Some((header, when)) = self.seen.clone() else {
-            if concerned && !context.leaving {
+            if concerned {
                 self.read(context);
             }
             return self.check;
         };
         match takeover::choose(context, self.number, header.as_ref()) {
             Choice::Own | Choice::Take { .. } => self.read(context),
-            Choice::Leave(life) if concerned => self.nudge(context, header.as_ref(), &life),
-            _ if concerned && context.now >= when + REREAD => {
-                self.seen = None;
+            Choice::Leave(life) if concerned => {
+                self.nudge(context, &life);
+                self.reread(context, when);
             }
+            _ if concerned => self.reread(context, when),
             _ => {}
         }
         self.check
     }
 
-    /// Tells a host that it should act, unless it is the owner already.
-    fn nudge(&self, context: &mut Context, header: Option<&Header>, life: &Life) {
-        let owner = header.and_then(|header| header.owner.as_ref());
-        let hinted = self.hint.as_ref().and_then(|hint| hint.owner.as_ref());
-        if owner != Some(life) && hinted != Some(life) {
-            let look = wire::Look { shard: self.number };
-            context.send(life, Body::Look(look));
+    /// Hands in records kept for an owner that has been superseded or is gone.
+    fn hand_in(&mut self, context: &mut Context) {
+        let Some(copy) = self.copy.as_ref().filter(|copy| !copy.records.is_empty()) else {
+            return;
+        };
+        let mine = copy.owner == context.me;
+        if !mine && !matches!(context.vital(&copy.owner), Vital::Dead | Vital::Gone) {
+            return;
+        }
+        let next = self.hint.as_ref().filter(|hint| hint.epoch > copy.epoch);
+        if let Some(owner) = next.and_then(|hint| hint.owner.clone()) {
+            let merge = wire::Merge {
+                shard: self.number,
+                epoch: copy.epoch,
+                records: Some(record::pack(copy.records.values(), &context.arena)),
+            };
+            context.send(&owner, Body::Merge(merge));
+            return;
+        }
+        let when = self.seen.as_ref().map(|(_, when)| *when);
+        if when.is_none_or(|when| context.now >= when + REREAD) {
+            self.read(context);
         }
     }
 
+    /// Reads the log again if it may have changed: this host is first choice and does
+    /// not own the shard, which never lasts.
+    fn reread(&mut self, context: &mut Context, when: Time) {
+        let known = self
+            .seen
+            .as_ref()
+            .and_then(|(header, _)| header.as_ref())
+            .map_or(0, |header| header.epoch);
+        let newer = self.hint.as_ref().is_some_and(|hint| hint.epoch > known);
+        if newer || self.asked || context.now >= when + REREAD {
+            self.read(context);
+        }
+    }
+
+    /// Tells a host that it should act; one that owns the shard already ignores it.
+    fn nudge(&self, context: &mut Context, life: &Life) {
+        let look = wire::Look { shard: self.number };
+        context.send(life, Body::Look(look));
+    }
+
     fn read(&mut self, context: &mut Context) {
+        self.asked = false;
         let mut reading = Box::<Reading>::default();
         reading.ask(context, self.number);
         self.role = Role::Reading(reading);
@@ -321,9 +394,8 @@
                 self.role = Role::Owner(Box::new(owner));
             }
             Choice::Leave(life) => {
-                let header = log.header.as_ref();
                 if context.first(self.number).as_ref() == Some(&context.me) {
-                    self.nudge(context, header, &life);
+                    self.nudge(context, &life);
                 }
             }
             Choice::Wait => {}
@@ -338,6 +410,7 @@
                 context.note(Level::Warn, "shard-lost", self.number);
                 if let Role::Owner(mut owner) = std::mem::replace(&mut self.role, Role::Idle) {
                     owner.dismiss(context, owner.header.epoch, None);
+                    self.copy = owner.leftover(context);
                 }
                 self.read(context);
             }
@@ -387,6 +460,7 @@
         if self.seen.is_none() {
             self.check = context.now;
         }
+        self.asked = true;
         context.count(Counter::FrameDropped);
         crate::owner::answer(context, waiter.claim, waiter.id, elsewhere);
     }
--- a/crates/ledger/src/takeover.rs
+++ b/crates/ledger/src/takeover.rs
@@ -173,20 +173,24 @@
             gap,
             count < kept.len(),
         );
-        let before = self.header.unwrap_or_else(|| Header {
+        let mut before = self.header.unwrap_or_else(|| Header {
             sequence: 0,
             epoch: 0,
             ..header.clone()
         });
+        // Claims that come before the entry is written are bound by the quarantine too.
+        before.quarantine_ms = header.quarantine_ms;
         let mut owner = Owner::new(context, shard, before, self.positions, self.book, self.fold);
         owner.stream = kept
             .iter()
             .map(|record| Pending {
                 record: *record,
                 due: context.now,
-                durable: true,
             })
             .collect();
+        owner.soonest = Some(context.now);
+        owner.kept = kept.len();
+        owner.exposed = kept.len();
         if gap {
             context.note(Level::Warn, "shard-quarantined", shard);
         }
