Member: tests of partitions, outages, address answers; slopes example

Cause: at 20% loss a host that had refuted was still held suspect by hosts that had missed its new record, and died there; hosts whose evidence grew old together called the service together (57 calls in a second for 60 hosts where 34 is the bound). Change: suspects are probed again by a few hosts each heartbeat, a host answers a rumour on itself with its record, and hosts that come to need a call spread it at random.

--- /dev/null
+++ b/crates/member/examples/slopes.rs
@@ -0,0 +1,232 @@
+//! Prints one line for each number of hosts: time until all adopt a version, frames,
+//! bytes and calls of a host, memory, processor time, time to detect a death.
+//!
+//! `cargo run --release -p mulberryrack-member --example slopes -- 9 30 90`
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{Fleet, edited, host, rows};
+use mulberryrack_core::{
+    Time,
+    view::{Standing, Value},
+};
+use mulberryrack_member::Input;
+use std::{
+    env, fs,
+    time::{Duration, Instant},
+};
+
+/// Rows of the table: 860 models with their adapters.
+const ROWS: usize = 3_000;
+/// Spread keys and changes a second at 1,400 hosts.
+const KEYS: usize = 10_000;
+const CHANGES: usize = 30;
+/// Hosts that the keys and changes belong to.
+const FULL_SIZE: usize = 1_400;
+/// Seconds over which rates are taken.
+const SPAN: u64 = 30;
+
+#[derive(Clone, Copy, Default)]
+struct Totals {
+    frames: u64,
+    bytes: u64,
+    calls: usize,
+}
+
+fn totals(fleet: &Fleet) -> Totals {
+    fleet
+        .nodes
+        .values()
+        .fold(Totals::default(), |sum, node| Totals {
+            frames: sum.frames + node.frames,
+            bytes: sum.bytes + node.bytes,
+            calls: sum.calls + node.calls.len(),
+        })
+}
+
+struct Rate {
+    frames: f64,
+    bytes: f64,
+    calls: f64,
+    cpu: f64,
+}
+
+/// Frames and bytes sent a second by a host, calls a second by all, processor share of
+/// a host, the bench included.
+#[allow(clippy::cast_precision_loss)]
+fn rate(fleet: &mut Fleet, span: u64, mut each_second: impl FnMut(&mut Fleet, u64)) -> Rate {
+    let before = totals(fleet);
+    let clock = Instant::now();
+    for second in 0..span {
+        each_second(fleet, second);
+        fleet.run_ms(1_000);
+    }
+    let after = totals(fleet);
+    let hosts = fleet.nodes.len() as f64;
+    let span = span as f64;
+    Rate {
+        frames: (after.frames - before.frames) as f64 / hosts / span,
+        bytes: (after.bytes - before.bytes) as f64 / hosts / span,
+        calls: (after.calls - before.calls) as f64 / span,
+        cpu: clock.elapsed().as_secs_f64() / hosts / span,
+    }
+}
+
+fn value(index: usize, version: u64) -> Value {
+    let mut bytes = vec![b'x'; 150];
+    bytes[70..78].copy_from_slice(&version.to_le_bytes());
+    Value {
+        key: format!("engine/engine-{index:05}").into(),
+        version,
+        bytes: bytes.into(),
+    }
+}
+
+/// Accepts a version and returns the milliseconds until each host has it, sorted.
+fn accept(fleet: &mut Fleet, version: u64) -> Vec<f64> {
+    let start = fleet.now;
+    let share = u32::try_from(version).expect("small");
+    let at = host(usize::try_from(version).expect("small") % fleet.nodes.len());
+    let change = format!("change-{version}");
+    fleet.accept(&at, version, version - 1, &change, edited(ROWS, 7, share));
+    fleet.run_ms(4_000);
+    let mut times: Vec<f64> = fleet
+        .nodes
+        .values()
+        .map(|node| {
+            let at = node.adopted.iter().find(|(it, _)| *it == version);
+            at.map_or(f64::INFINITY, |(_, at)| {
+                at.since(start).as_secs_f64() * 1_000.0
+            })
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+/// Seconds until half of the hosts, and until all, hold a host dead that has ended.
+fn detection(fleet: &mut Fleet, index: usize) -> (f64, f64) {
+    let name = host(index);
+    let start: Time = fleet.now;
+    fleet.kill(&name);
+    fleet.run_ms(20_000);
+    let mut times: Vec<f64> = fleet
+        .nodes
+        .values()
+        .map(|node| {
+            let seen = node.standings.iter().find(|(at, of, standing)| {
+                *at >= start && *of == name && *standing == Standing::Dead
+            });
+            seen.map_or(f64::INFINITY, |(at, ..)| at.since(start).as_secs_f64())
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    (times[times.len() / 2], times[times.len() - 1])
+}
+
+fn resident_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok())
+        .unwrap_or(0)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn measure(size: usize) {
+    let before_kb = resident_kb();
+    let mut fleet = Fleet::new(size, 1);
+    fleet.run_ms(10_000);
+    fleet.accept(&host(0), 1, 0, "first", rows(ROWS, 1));
+    fleet.run_ms(15_000);
+    let first = fleet.all_at(1);
+    let idle = rate(&mut fleet, SPAN, |_, _| {});
+    let mut fresh = 0;
+    let mut samples = 0;
+    let busy = rate(&mut fleet, SPAN, |fleet, _| {
+        samples += fleet.nodes.len();
+        let now = fleet.now;
+        let current = |node: &&common::Node| node.member.current(now);
+        fresh += fleet.nodes.values().filter(current).count();
+    });
+    let plain: Vec<f64> = (2..12).flat_map(|it| accept(&mut fleet, it)).collect();
+    fleet.loss = 0.2;
+    let lossy: Vec<f64> = (12..22).flat_map(|it| accept(&mut fleet, it)).collect();
+    fleet.loss = 0.0;
+    let keys = KEYS * size / FULL_SIZE;
+    for index in 0..keys {
+        fleet.tell(&host(index % size), Input::Publish(value(index, 1)));
+        if index % 300 == 299 {
+            fleet.run_ms(1_000);
+        }
+    }
+    fleet.run_ms(20_000);
+    let mut turn = 0;
+    // As many changes as at full size, so that the rate of one host is that of full
+    // size; the table changes once a second.
+    let changes = rate(&mut fleet, SPAN, |fleet, second| {
+        for _ in 0..CHANGES {
+            turn += 1;
+            let index = turn % keys.max(1);
+            fleet.tell(
+                &host(index % size),
+                Input::Publish(value(index, 10 + turn as u64)),
+            );
+        }
+        let version = 22 + second;
+        let share = u32::try_from(version).expect("small");
+        let change = format!("change-{version}");
+        let at = host(turn % size);
+        fleet.accept(&at, version, version - 1, &change, edited(ROWS, 7, share));
+    });
+    let kb = resident_kb().saturating_sub(before_kb) / size as u64;
+    let (half, all) = detection(&mut fleet, size / 2);
+    println!(
+        "hosts={size} first_table={first} adopt_ms median={:.0} worst={:.0} lossy_median={:.0} \
+         lossy_worst={:.0} idle frames={:.1}/s bytes={:.0}/s calls={:.1}/s cpu={:.3}% \
+         current={:.4} changing frames={:.1}/s bytes={:.0}/s calls={:.1}/s cpu={:.3}% \
+         kb_a_host={kb} dead_s median={half:.1} worst={all:.1}",
+        middle(&plain),
+        worst(&plain),
+        middle(&lossy),
+        worst(&lossy),
+        idle.frames,
+        idle.bytes,
+        idle.calls,
+        idle.cpu * 100.0,
+        f64::from(u32::try_from(fresh).expect("small"))
+            / f64::from(u32::try_from(samples).expect("small")),
+        changes.frames,
+        changes.bytes,
+        changes.calls,
+        changes.cpu * 100.0,
+    );
+    let _ = (busy.calls, Duration::ZERO);
+}
+
+fn middle(times: &[f64]) -> f64 {
+    let mut times = times.to_vec();
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+fn worst(times: &[f64]) -> f64 {
+    times.iter().copied().fold(0.0, f64::max)
+}
+
+fn main() {
+    let sizes: Vec<usize> = env::args()
+        .skip(1)
+        .filter_map(|size| size.parse().ok())
+        .collect();
+    let sizes = if sizes.is_empty() {
+        vec![9, 30, 90]
+    } else {
+        sizes
+    };
+    for size in sizes {
+        measure(size);
+    }
+}
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -609,6 +609,17 @@
     fn hear(&mut self, from: &Name, rumours: &[wire::Rumour]) {
         self.prober
             .hear(&mut self.cx, &mut self.hosts, from, rumours);
+        let me = &*self.hosts.me.name;
+        if rumours.iter().any(|rumour| rumour.name == me) {
+            self.send_record(from);
+        }
+    }
+
+    /// Sends the own record to a host that goes by an older one.
+    fn send_record(&mut self, to: &Name) {
+        let record = self.hosts.own_record(self.cx.settings.weight);
+        let values = vec![spread::to_wire(&record)];
+        self.send(to, Body::Values(wire::Values { values }));
     }
 
     fn on_ping(&mut self, from: &Name, ping: &wire::Ping) {
@@ -681,6 +692,7 @@
         self.relay.heard(self.cx.now, beat.table);
         if beat.held != 0 {
             self.hosts.refute(beat.held);
+            self.send_record(from);
         }
         self.hear(from, &beat.rumours);
     }
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -20,6 +20,9 @@
 /// Hosts probed at once by a host that has not had an answer yet.
 const FIRST_CONTACTS: usize = 4;
 
+/// Hosts that probe a suspect again, in each heartbeat.
+const SECOND_PROBES: usize = 8;
+
 #[derive(Clone, Debug)]
 struct Flight {
     sequence: u64,
@@ -118,7 +121,8 @@
         self.fail(cx, hosts);
         if cx.now >= self.next_probe {
             self.next_probe = cx.now + cx.settings.heartbeat;
-            if let Some(target) = self.next_target(cx, hosts) {
+            let targets = [self.next_target(cx, hosts), suspect_host(cx, hosts)];
+            for target in targets.into_iter().flatten() {
                 acts.push(self.ping(cx.now, target));
             }
         }
@@ -248,7 +252,7 @@
         rumours
     }
 
-    /// Takes in rumours from a host that is itself held alive.
+    /// Takes in rumours; those on other hosts only if the sender is itself held alive.
     pub fn hear(&mut self, cx: &mut Context, hosts: &mut Hosts, from: &str, rumours: &[Rumour]) {
         let credible = hosts
             .map
@@ -337,6 +341,20 @@
     }
 }
 
+/// A random suspect, to be probed once more. All hosts together probe a few times.
+fn suspect_host(cx: &mut Context, hosts: &Hosts) -> Option<Name> {
+    let suspects: Vec<&Name> = hosts
+        .map
+        .iter()
+        .filter(|(_, host)| host.health == Health::Suspect)
+        .map(|(name, _)| name)
+        .collect();
+    if suspects.is_empty() || cx.below(hosts.size()) >= SECOND_PROBES {
+        return None;
+    }
+    Some(suspects[cx.below(suspects.len())].clone())
+}
+
 /// A random host that is dead and not gone.
 fn dead_host(cx: &mut Context, hosts: &Hosts) -> Option<Name> {
     let dead: Vec<&Name> = hosts
--- a/crates/member/src/store.rs
+++ b/crates/member/src/store.rs
@@ -67,7 +67,9 @@
     /// Revision of the newest version seen; zero if there was none.
     head: Option<Revision>,
     poll_at: Time,
-    started: bool,
+    /// Whether no call of its own was due; hosts that come to need one at the same time
+    /// do not make it at the same time.
+    rested: bool,
     failures: u32,
     newest: Option<Load>,
     load_at: Option<Time>,
@@ -88,7 +90,7 @@
             budget: Budget::new(cx.settings.calls_per_second, cx.now),
             head: None,
             poll_at: cx.now + PEERS_FIRST,
-            started: false,
+            rested: true,
             failures: 0,
             newest: None,
             load_at: None,
@@ -190,18 +192,18 @@
         if cx.now < self.poll_at || self.is_polling() {
             return;
         }
-        if !self.started {
-            // Hosts that start together do not ask together.
-            self.started = true;
-            let span = probe::share(parts.hosts, cx.settings.fleet_calls_per_second);
-            self.poll_at = cx.now + cx.jitter(span);
-            return;
-        }
         let watches = watches(cx, parts.hosts);
         if !watches && !is_stale(cx, parts) {
+            self.rested = true;
             self.poll_at = cx.now + cx.settings.heartbeat;
             return;
         }
+        let alone = watches && parts.relay.table().is_some();
+        if std::mem::take(&mut self.rested) && !alone {
+            let span = probe::share(parts.hosts, cx.settings.fleet_calls_per_second);
+            self.poll_at = cx.now + cx.jitter(span);
+            return;
+        }
         if !self.budget.ask(cx.now) {
             self.poll_at = cx.now + self.budget.wait();
             return;
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -5,12 +5,13 @@
 
 use mulberryrack_core::{
     Incarnation, Name, Time,
-    kv::{Fault, Op, Outcome, Revision, Token},
+    kv::{Fault, Op, Outcome, Reply, Revision, Token},
     node::{Listing, Role},
+    outcome::Reason,
     request::Priority,
     view::{Peer, Standing, Value},
 };
-use mulberryrack_member::{Input, Member, Output, Settings, Verdict};
+use mulberryrack_member::{Input, Member, Output, Settings, Verdict, record};
 use mulberryrack_standin::kv::Store;
 use mulberryrack_table::{Kind, Row, Table};
 use mulberryrack_wire::member::Frame;
@@ -40,6 +41,8 @@
     Stale,
     /// Carries out writes, and loses their answers.
     LosesAnswers,
+    /// Answers watches at once though nothing has changed.
+    Eager,
 }
 
 enum Event {
@@ -100,6 +103,7 @@
     events: BTreeMap<u64, Event>,
     next: u64,
     rng: ChaCha8Rng,
+    pub largest_frame: usize,
     pub loss: f64,
     pub duplicate: f64,
     pub latency: Duration,
@@ -130,6 +134,7 @@
             events: BTreeMap::new(),
             next: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            largest_frame: 0,
             loss: 0.0,
             duplicate: 0.0,
             latency: Duration::from_micros(700),
@@ -271,6 +276,7 @@
                     "frames carry the receiver's address"
                 );
                 let bytes = frame.encode_to_vec();
+                self.largest_frame = self.largest_frame.max(bytes.len());
                 node.frames += 1;
                 node.bytes += bytes.len() as u64;
                 self.transmit(name, life, &to, &bytes);
@@ -339,7 +345,11 @@
         } else {
             &mut self.service
         };
-        let Some(reply) = store.call(self.now, op) else {
+        let mut reply = store.call(self.now, op);
+        if self.mode == Mode::Eager {
+            reply = reply.or_else(|| Some(store.unchanged()));
+        }
+        let Some(reply) = reply else {
             let Op::Watch {
                 prefix,
                 after,
@@ -353,7 +363,11 @@
                 life,
                 token,
             };
-            self.schedule(self.now + *wait, end);
+            let late = match self.mode {
+                Mode::Slow(delay) => delay,
+                _ => Duration::ZERO,
+            };
+            self.schedule(self.now + *wait + late, end);
             self.watches.push(Watch {
                 to,
                 life,
@@ -487,6 +501,68 @@
         }
     }
 
+    /// Drops the answers of the service that have not arrived yet.
+    pub fn lose_answers_under_way(&mut self) {
+        self.events
+            .retain(|_, event| !matches!(event, Event::Kv { .. }));
+    }
+
+    /// Puts version 2 into the service, as a host that then ends unseen would.
+    pub fn service_accept_elsewhere(&mut self) {
+        let table = self
+            .nodes
+            .values()
+            .next()
+            .and_then(|node| node.member.table());
+        let base = table.expect("a table is in force");
+        let next = Table {
+            version: 2,
+            change: "elsewhere".into(),
+            author: "operator".into(),
+            rows: base.rows.iter().skip(1).cloned().collect(),
+        };
+        let key: Arc<str> = "table/head".into();
+        let head = Op::Get { key: key.clone() };
+        let Some(Reply::Entry(Some(entry))) = self.service.call(self.now, &head) else {
+            panic!("the service has a table");
+        };
+        let put = Op::Put {
+            key,
+            value: record::step(&base, &next).encode_to_vec().into(),
+            expect: Some(entry.revision),
+            lease: None,
+        };
+        self.service.call(self.now, &put);
+        self.wake_watches();
+    }
+
+    /// Most calls of all hosts together in one second since a moment.
+    pub fn peak_calls(&self, since: Time) -> usize {
+        let mut calls: Vec<Time> = self
+            .nodes
+            .values()
+            .flat_map(|node| &node.calls)
+            .copied()
+            .filter(|at| *at >= since)
+            .collect();
+        calls.sort_unstable();
+        (0..calls.len())
+            .map(|first| {
+                let end = calls[first] + Duration::from_secs(1);
+                calls.partition_point(|at| *at < end) - first
+            })
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Addresses that a host names for a row.
+    pub fn address(&mut self, name: &str, row: &str) -> Result<Vec<Name>, Reason> {
+        let now = self.now;
+        let node = self.nodes.get_mut(name).expect("the host runs");
+        let answer = node.member.address(now, row, 0)?;
+        Ok(answer.addresses)
+    }
+
     pub fn names(&self) -> Vec<Name> {
         self.nodes.keys().cloned().collect()
     }
