--- a/crates/route/src/answer.rs
+++ b/crates/route/src/answer.rs
@@ -44,6 +44,8 @@
                     run.received += bytes.len() as u64;
                     run.resumes = 0;
                     self.deliver(now, key, bytes, out);
+                    // The bound between chunks may be shorter than that on the first.
+                    self.arm(now, key);
                 }
             }
             upstream::Event::End if run.open => {
--- a/crates/route/src/arrive.rs
+++ b/crates/route/src/arrive.rs
@@ -269,9 +269,12 @@
         let row = &self.rows.get(life.row).line;
         let first = row.first_token.mul_f64(self.settings.first_byte_factor);
         let gap = row.token_gap.mul_f64(self.settings.gap_factor);
+        let first = first.max(self.settings.first_byte_min);
+        // Time must be left for two more attempts.
+        let third = (life.deadline - life.runs[index].started) / 3;
         life.overdue(
             index,
-            first.max(self.settings.first_byte_min),
+            first.min(third).max(row.first_token),
             gap.max(self.settings.gap_min),
         )
     }
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -217,9 +217,9 @@
         if suspect {
             upstream.suspect = Some(attempt);
         }
-        // A pooled connection may have died unnoticed; what cannot be sent again must
-        // not be the first to find out.
-        let fresh = life.safety != Safety::Repeatable || upstream.distrust > now;
+        // A pooled connection may have died unnoticed; what cannot be sent again, or was
+        // sent in vain already, must not be the first to find out.
+        let fresh = life.safety != Safety::Repeatable || life.tries > 1 || upstream.distrust > now;
         out.push(Output::Send(Send {
             attempt,
             upstream: upstream.name.clone(),
