--- a/crates/route/src/answer.rs
+++ b/crates/route/src/answer.rs
@@ -189,6 +189,7 @@
 
     /// Takes a request out of every structure; `whole` tells whether its run has ended.
     fn remove(&mut self, now: Time, key: Key, whole: bool, out: &mut Vec<Output>) -> Life {
+        self.end_isolation(now, key, out);
         match self.lives[&key].stage {
             Stage::Waiting => self.dequeue(key),
             Stage::Following => self.unfollow(key, out),
--- a/crates/route/src/arrive.rs
+++ b/crates/route/src/arrive.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Output, Router,
+    isolate::Isolation,
     life::{Event, Life, Safety, Stage, Step},
     row::RowId,
     upstreams::Health,
@@ -119,6 +120,7 @@
             doubt: None,
             avoid: Vec::new(),
             suspect: false,
+            isolation: Isolation::None,
             hold: now,
             timer: None,
             request,
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -115,7 +115,12 @@
                 continue;
             }
             self.pardon(key);
-            let Some(upstream) = self.pick(now, key, freed, &[]) else {
+            let found = if self.lives[&key].suspect {
+                self.isolated(now, key, freed, out)
+            } else {
+                self.pick(now, key, freed, &[])
+            };
+            let Some(upstream) = found else {
                 continue;
             };
             self.launch(now, key, upstream, out);
--- a/crates/route/src/frames.rs
+++ b/crates/route/src/frames.rs
@@ -22,6 +22,8 @@
             Body::Recall(recall) => self.on_recall(now, from, &recall, out),
             Body::Keep(keep) => self.on_keep(now, from, incarnation, &keep, out),
             Body::Follow(follow) => self.on_follow(from, incarnation, &follow, out),
+            Body::Isolate(isolate) => self.on_isolate(now, from, incarnation, &isolate, out),
+            Body::Isolated(isolated) => self.on_isolated(now, &isolated),
             Body::Part(part) => self.on_part(now, from, incarnation, part, out),
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod frames;
 mod hedge;
+mod isolate;
 mod join;
 mod kept;
 mod life;
--- a/crates/route/src/life.rs
+++ b/crates/route/src/life.rs
@@ -18,7 +18,7 @@
 //!   the caller has been given nothing: another run gives another text, and two texts
 //!   are never joined.
 
-use crate::{row::RowId, settings::Settings, upstreams::UpstreamId};
+use crate::{isolate::Isolation, row::RowId, settings::Settings, upstreams::UpstreamId};
 use bytes::Bytes;
 use mulberryrack_core::{
     Name, Time,
@@ -169,6 +169,8 @@
     pub avoid: Vec<UpstreamId>,
     /// Whether it is suspected of a crash.
     pub suspect: bool,
+    /// What a suspect has of an upstream.
+    pub isolation: Isolation,
     /// Earliest moment of a dispatch.
     pub hold: Time,
     /// The timer that is set for it.
--- a/crates/route/src/permit.rs
+++ b/crates/route/src/permit.rs
@@ -194,6 +194,7 @@
             self.survey(now, id, out);
             self.serve(now, id, out);
         }
+        let reserve = self.reserve(now, id);
         let row = self.rows.get_mut(id);
         let waiting = !row.queue.is_empty();
         let permits = &mut row.permits;
@@ -202,9 +203,8 @@
             self.want_permits(now, id, out);
             return;
         }
-        let idle = permits.allowance > permits.peak;
         let peak = std::mem::replace(&mut permits.peak, permits.used);
-        if idle && permits.lower(peak) {
+        if permits.lower(peak.max(reserve)) {
             self.tell_kept(now, id, out);
         }
         let busy = self.rows.get(id).permits.allowance > 0;
@@ -221,6 +221,17 @@
         }
     }
 
+    /// Idle permits that a host keeps for a row that it served lately, so that the next
+    /// requests, and the loss of the lender, find some here.
+    fn reserve(&self, now: Time, id: RowId) -> u32 {
+        let row = self.rows.get(id);
+        if self.leaving || row.watched.is_none_or(|until| until <= now) {
+            return 0;
+        }
+        let hosts = u32::try_from(self.view.able().count()).unwrap_or(u32::MAX);
+        row.line.ceiling / hosts.saturating_mul(2).max(1)
+    }
+
     /// Gives permits back that the lender has asked for, after a request has ended.
     pub(crate) fn give_back(&mut self, now: Time, id: RowId, out: &mut Vec<Output>) {
         let leaving = self.leaving;
@@ -451,7 +462,7 @@
         let term = book.term;
         let over: Vec<_> = holders
             .into_iter()
-            .filter(|(_, _, held)| *held > part)
+            .filter(|(host, _, held)| *held > part || (*held > 0 && !wants(host)))
             .collect();
         for (host, incarnation, _) in over {
             let recall = Recall {
@@ -666,15 +677,23 @@
         let Some(id) = self.rows.find(&recall.row) else {
             return;
         };
-        let permits = &mut self.rows.get_mut(id).permits;
-        let expected = permits
-            .lender
-            .as_ref()
-            .is_some_and(|lender| lender.0 == *from)
-            && recall.term == permits.term;
-        if expected && permits.allowance > recall.target {
+        let row = self.rows.get_mut(id);
+        // Idle permits go back whatever the target is, unless something waits for them.
+        let floor = if row.queue.is_empty() {
+            0
+        } else {
+            recall.target
+        };
+        let permits = &mut row.permits;
+        let lender = permits.lender.as_ref().map(|lender| &lender.0);
+        if lender != Some(from) || recall.term != permits.term {
+            return;
+        }
+        if permits.allowance > recall.target {
             permits.target = Some(recall.target);
-            self.give_back(now, id, out);
+        }
+        if permits.lower(floor) {
+            self.tell_kept(now, id, out);
         }
     }
 
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -103,6 +103,7 @@
         let run = life.runs.remove(index);
         life.avoid.push(run.upstream);
         let (tries, resumable) = (life.tries, life.resumable);
+        self.end_isolation(now, key, out);
         self.stop_run(now, run.attempt, run.upstream, true, out);
         if !self.budget.spend() {
             let outcome = self.lives[&key].refused(Refusal {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Input, Output, Settings,
+    isolate::Wards,
     join::Joins,
     kept::Keeper,
     life::{Event, Life},
@@ -87,6 +88,7 @@
     pub(crate) keeper: Keeper,
     pub(crate) joins: Joins,
     pub(crate) suspects: Suspects,
+    pub(crate) wards: Wards,
 }
 
 impl Router {
@@ -128,6 +130,7 @@
             keeper: Keeper::default(),
             joins: Joins::default(),
             suspects: Suspects::default(),
+            wards: Wards::new(),
         }
     }
 
