--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -115,7 +115,12 @@
                 continue;
             }
             self.pardon(key);
-            let Some(upstream) = self.pick(now, key, freed, &[]) else {
+            let found = if self.lives[&key].suspect {
+                self.isolated(now, key, freed, out)
+            } else {
+                self.pick(now, key, freed, &[])
+            };
+            let Some(upstream) = found else {
                 continue;
             };
             self.launch(now, key, upstream, out);
@@ -217,9 +222,9 @@
         if suspect {
             upstream.suspect = Some(attempt);
         }
-        // A pooled connection may have died unnoticed; what cannot be sent again must
-        // not be the first to find out.
-        let fresh = life.safety != Safety::Repeatable || upstream.distrust > now;
+        // A pooled connection may have died unnoticed; what cannot be sent again, or was
+        // sent in vain already, must not be the first to find out.
+        let fresh = life.safety != Safety::Repeatable || life.tries > 1 || upstream.distrust > now;
         out.push(Output::Send(Send {
             attempt,
             upstream: upstream.name.clone(),
