--- a/crates/client/src/cmd/explain.rs
+++ b/crates/client/src/cmd/explain.rs
@@ -1,10 +1,6 @@
 //! `mulberryrack explain`
 
-use crate::{
-    exit::Result,
-    link::{Link, Options},
-    print,
-};
+use crate::{exit::Result, link::Options, print};
 use mulberryrack_host::operator::Command;
 
 /// Arguments of `mulberryrack explain`.
@@ -20,7 +16,7 @@
     /// Asks a host about a row.
     pub fn run(self) -> Result {
         let row = self.row.into();
-        let answer = Link::open(&self.options)?.ask(&Command::Explain { row })?;
+        let answer = self.options.open()?.ask(&Command::Explain { row })?;
         print::answer(&answer, self.options.json)
     }
 }
--- a/crates/client/src/cmd/host.rs
+++ b/crates/client/src/cmd/host.rs
@@ -1,10 +1,6 @@
 //! `mulberryrack host`
 
-use crate::{
-    exit::Result,
-    link::{Link, Options},
-    print,
-};
+use crate::{exit::Result, link::Options, print};
 use mulberryrack_host::operator;
 
 /// What to do with a host.
@@ -19,7 +15,7 @@
     pub fn run(self) -> Result {
         let Self::Drain(options) = self;
         // Only the host named first is meant, never the next one that answers.
-        let answer = Link::open_first(&options)?.ask(&operator::Command::Drain)?;
+        let answer = options.open_first()?.ask(&operator::Command::Drain)?;
         print::answer(&answer, options.json)
     }
 }
--- a/crates/client/src/cmd/status.rs
+++ b/crates/client/src/cmd/status.rs
@@ -1,10 +1,6 @@
 //! `mulberryrack status`
 
-use crate::{
-    exit::Result,
-    link::{Link, Options},
-    print,
-};
+use crate::{exit::Result, link::Options, print};
 use mulberryrack_host::operator::Command;
 
 /// Arguments of `mulberryrack status`.
@@ -17,7 +13,7 @@
 impl Args {
     /// Asks a host for the state of the deployment.
     pub fn run(self) -> Result {
-        let answer = Link::open(&self.options)?.ask(&Command::Status)?;
+        let answer = self.options.open()?.ask(&Command::Status)?;
         print::answer(&answer, self.options.json)
     }
 }
--- a/crates/client/src/cmd/table.rs
+++ b/crates/client/src/cmd/table.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     exit::{Code, Error, Result},
-    link::{Link, Options},
+    link::Options,
     print,
 };
 use mulberryrack_host::operator::{Answer, Applied, Command as Ask};
+use mulberryrack_load::operator::Link;
 use rand::RngExt;
 use std::{
     env, fs,
@@ -103,7 +104,7 @@
             Self::Show(args) => args.run(),
             Self::Accept(args) => {
                 let csv = read(&args.file)?;
-                let mut link = Link::open(&args.options)?;
+                let mut link = args.options.open()?;
                 accept(&mut link, csv, args.terms, args.options.json)
             }
             Self::History(options) => ask(&options, &Ask::History),
@@ -117,7 +118,7 @@
         let Some(version) = self.version else {
             return ask(&self.options, &Ask::Show { version: None });
         };
-        let mut link = Link::open(&self.options)?;
+        let mut link = self.options.open()?;
         let answer = old(&mut link, version)?;
         print::answer(&answer, self.options.json)
     }
@@ -125,7 +126,7 @@
 
 impl Rollback {
     fn run(self) -> Result {
-        let mut link = Link::open(&self.options)?;
+        let mut link = self.options.open()?;
         match old(&mut link, self.version)? {
             Answer::Table(table) => accept(&mut link, table.csv, self.terms, self.options.json),
             answer => print::answer(&answer, self.options.json),
@@ -158,7 +159,7 @@
 }
 
 fn ask(options: &Options, command: &Ask) -> Result {
-    let answer = Link::open(options)?.ask(command)?;
+    let answer = options.open()?.ask(command)?;
     print::answer(&answer, options.json)
 }
 
--- a/crates/client/src/link.rs
+++ b/crates/client/src/link.rs
@@ -1,17 +1,9 @@
-//! The connection to a host.
+//! Which hosts to ask, and how to print.
 
 use crate::exit::{Error, Result};
 use clap::Args;
-use mulberryrack_daemon::{config::Tls, peer};
-use mulberryrack_host::operator::{Answer, Command};
-use mulberryrack_wire::operator::{Command as Frame, operator_client::OperatorClient};
-use std::time::Duration;
-use tokio::runtime::{Builder, Runtime};
-use tonic::transport::Channel;
-
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
-/// Largest answer in bytes: a table of a megabyte, quoted.
-const MAX_ANSWER: usize = 8 << 20;
+use mulberryrack_daemon::config::Tls;
+use mulberryrack_load::operator::{self, Link};
 
 /// Which hosts to ask, and how to print.
 #[derive(Clone, Debug, Args)]
@@ -41,6 +33,16 @@
 }
 
 impl Options {
+    /// Connects to the first host that can be reached.
+    pub fn open(&self) -> Result<Link> {
+        Ok(Link::open(&self.hosts, self.tls().as_ref())?)
+    }
+
+    /// Connects to the host named first, and to no other.
+    pub fn open_first(&self) -> Result<Link> {
+        Ok(Link::open(&self.hosts[..1], self.tls().as_ref())?)
+    }
+
     /// The files of certificates, if they are named.
     fn tls(&self) -> Option<Tls> {
         Some(Tls {
@@ -51,67 +53,12 @@
     }
 }
 
-/// A connection to the first host that could be reached.
-#[derive(Debug)]
-pub struct Link {
-    runtime: Runtime,
-    client: OperatorClient<Channel>,
-}
-
-impl Link {
-    /// Connects to the first host that can be reached.
-    pub fn open(options: &Options) -> Result<Self> {
-        Self::open_one_of(options, &options.hosts)
-    }
-
-    /// Connects to the host named first, and to no other.
-    pub fn open_first(options: &Options) -> Result<Self> {
-        Self::open_one_of(options, &options.hosts[..1])
-    }
-
-    fn open_one_of(options: &Options, hosts: &[String]) -> Result<Self> {
-        let tls = options.tls();
-        let runtime = Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(|error| Error::Failed {
-                reason: error.to_string(),
-            })?;
-        let mut reason = "no host was named".to_owned();
-        for host in hosts {
-            match runtime.block_on(peer::connect(host, tls.as_ref())) {
-                Ok(channel) => {
-                    let client = OperatorClient::new(channel).max_decoding_message_size(MAX_ANSWER);
-                    return Ok(Self { runtime, client });
-                }
-                Err(error) => reason = format!("{host}: {error}"),
-            }
+impl From<operator::Error> for Error {
+    fn from(error: operator::Error) -> Self {
+        match error {
+            operator::Error::Unreachable(reason) => Self::Unreachable { reason },
+            operator::Error::Unanswered(reason) => Self::Unanswered { reason },
+            operator::Error::Malformed(answer) => Self::Unexpected { answer },
         }
-        Err(Error::Unreachable { reason })
-    }
-
-    /// Sends a command and waits for its answer.
-    pub fn ask(&mut self, command: &Command) -> Result<Answer> {
-        let json = serde_json::to_string(command).map_err(|error| Error::Failed {
-            reason: error.to_string(),
-        })?;
-        let Self { runtime, client } = self;
-        let answer = runtime.block_on(tokio::time::timeout(ANSWER_TIMEOUT, async {
-            let mut stream = client.run(Frame { json }).await?.into_inner();
-            stream.message().await
-        }));
-        let frame = answer
-            .map_err(|_| Error::Unanswered {
-                reason: "the host did not answer in time".to_owned(),
-            })?
-            .map_err(|status| Error::Unanswered {
-                reason: status.message().to_owned(),
-            })?
-            .ok_or_else(|| Error::Unanswered {
-                reason: "the host ended the connection".to_owned(),
-            })?;
-        serde_json::from_str(&frame.json).map_err(|error| Error::Unexpected {
-            answer: format!("{error}: {}", frame.json),
-        })
     }
 }
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -168,10 +168,10 @@
 /// Answers which hosts to use.
 fn address(request: tiny_http::Request, edge: &Edge, target: &str) {
     let (ticket, answers) = edge.waiting.address();
-    edge.inbox.put(Event::Where {
-        ticket,
-        target: target.into(),
-    });
+    let target = target.into();
+    if !edge.inbox.put(Event::Where { ticket, target }) {
+        return refuse(request, Reason::Draining, None);
+    }
     match answers.recv() {
         Ok(Ok(address)) => {
             let body = json!({
@@ -254,10 +254,18 @@
     };
     arrived.idempotency = idempotency;
     arrived.deadline = edge.clock.now() + allowed;
-    edge.inbox.put(Event::Request(arrived));
+    if !edge.inbox.put(Event::Request(arrived)) {
+        // The host has ended, and never saw the request.
+        edge.waiting.forget(key);
+        return refuse(request, Reason::Draining, Some(RETRY_OVERLOAD));
+    }
     let mut writer = request.into_writer();
-    if let Err(response::Error::Caller) = response::stream(&mut *writer, answers) {
-        edge.inbox.put(Event::Gone(key));
+    match response::stream(&mut *writer, answers) {
+        Ok(()) => {}
+        Err(response::Error::Caller) => {
+            edge.inbox.put(Event::Gone(key));
+        }
+        Err(response::Error::Host) => response::broken(&mut *writer),
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -175,7 +175,7 @@
 fn spawn_driver(start: Start, outlet: Outlet, adapters: Adapters) -> io::Result<JoinHandle<()>> {
     thread::Builder::new()
         .name("host".to_owned())
-        .spawn(move || driver::run(start, &outlet, &adapters))
+        .spawn(move || driver::run(start, outlet, &adapters))
 }
 
 fn bind(address: &str) -> io::Result<TcpListener> {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -37,9 +37,9 @@
         (Self(sender), Outlet(receiver))
     }
 
-    /// Puts an event in. Events after the end of the loop are dropped.
-    pub fn put(&self, event: Event) {
-        let _ = self.0.send(Message::Event(Box::new(event)));
+    /// Puts an event in; `false` after the end of the loop, when nobody takes it.
+    pub fn put(&self, event: Event) -> bool {
+        self.0.send(Message::Event(Box::new(event))).is_ok()
     }
 
     /// Asks whether the host is ready; `None` after the end of the loop.
@@ -107,6 +107,13 @@
         (ticket, wait(&self.operators, ticket))
     }
 
+    /// Lets everybody who waits find that no answer will come.
+    fn close(&self) {
+        lock(&self.callers).clear();
+        lock(&self.addresses).clear();
+        lock(&self.operators).clear();
+    }
+
     /// Requests that wait for an answer.
     pub fn requests(&self) -> usize {
         lock(&self.callers).len()
@@ -174,8 +181,16 @@
     pub clock: Clock,
 }
 
-/// Runs the host until it is drained or stopped.
-pub fn run(start: Start, outlet: &Outlet, adapters: &Adapters) {
+/// Runs the host until it is drained or stopped. Whoever still waits for an answer then
+/// finds that none will come.
+pub fn run(start: Start, outlet: Outlet, adapters: &Adapters) {
+    decide(start, &outlet, adapters);
+    // Dropped first, so that nobody can begin to wait after the close.
+    drop(outlet);
+    adapters.waiting.close();
+}
+
+fn decide(start: Start, outlet: &Outlet, adapters: &Adapters) {
     let clock = start.clock;
     let mut host = Host::new(start.settings, start.identity, start.seed, clock.now());
     loop {
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -233,7 +233,9 @@
     async fn deliver(&self, request: Request<Batch>) -> Result<Response<Receipt>, Status> {
         self.admit(&request, tls::HOST)?;
         for envelope in request.into_inner().envelopes {
-            self.inbox.put(Event::Peer(envelope));
+            if !self.inbox.put(Event::Peer(envelope)) {
+                return Err(Status::unavailable("the host has ended"));
+            }
         }
         Ok(Response::new(Receipt {}))
     }
@@ -248,7 +250,9 @@
         let command: operator::Command = serde_json::from_str(&request.into_inner().json)
             .map_err(|error| Status::invalid_argument(error.to_string()))?;
         let (ticket, answers) = self.waiting.operator();
-        self.inbox.put(Event::Operator { ticket, command });
+        if !self.inbox.put(Event::Operator { ticket, command }) {
+            return Err(Status::unavailable("the host has ended"));
+        }
         let answer = tokio::task::spawn_blocking(move || answers.recv_timeout(COMMAND_TIMEOUT))
             .await
             .map_err(|error| Status::internal(error.to_string()))?
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -101,8 +101,8 @@
     thread::Builder::new()
         .name("list".to_owned())
         .spawn(move || {
-            loop {
-                inbox.put(Event::Listing(read_list(&agent, &url, timeout)));
+            // Ends with the host.
+            while inbox.put(Event::Listing(read_list(&agent, &url, timeout))) {
                 thread::sleep(interval);
             }
         })
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -48,13 +48,19 @@
             Answer::Chunk(bytes) => chunk(writer, &bytes).map_err(|_| Error::Caller)?,
             Answer::End(Outcome::Ran) => return end(writer).map_err(|_| Error::Caller),
             Answer::End(_) | Answer::Final(_) | Answer::Head { .. } => {
-                let broken = writer.write_all(BROKEN).and_then(|()| writer.flush());
-                return broken.map_err(|_| Error::Caller);
+                broken(writer);
+                return Ok(());
             }
         }
     }
 }
 
+/// Ends an answer that is not whole, so that the client fails.
+pub fn broken(writer: &mut dyn Write) {
+    // Where the caller has gone away there is nobody to tell.
+    let _ = writer.write_all(BROKEN).and_then(|()| writer.flush());
+}
+
 fn head(writer: &mut dyn Write, status: u16, headers: &[(Name, Name)]) -> io::Result<()> {
     write!(writer, "HTTP/1.1 {status} {}\r\n", phrase(status))?;
     for (name, value) in headers {
