Stand-ins on loopback: serve every connection of a burst

tiny_http's thread pool leaves a connection unserved that arrives while its last idle thread wakes up; nothing takes it until another thread is free, and threads of open connections are not.

The relay now sends a probe ahead of each client's bytes and, if that stays unanswered for 20 ms, opens one more connection, which starts a thread that takes the unserved one next.

--- a/crates/standin/src/world/exchange.rs
+++ b/crates/standin/src/world/exchange.rs
@@ -1,6 +1,6 @@
 //! One HTTP request and its answer.
 
-use super::gate::Routes;
+use super::gate::{PROBE, Routes};
 use chunked_transfer::Encoder;
 use mulberryrack_core::{Name, request::Call};
 use serde::{Serialize, de::DeserializeOwned};
@@ -33,6 +33,11 @@
     /// Reads the body; `None` if the connection has ended meanwhile.
     pub fn read(mut request: Request, routes: &Arc<Routes>) -> Option<Self> {
         let remote = *request.remote_addr()?;
+        if request.url() == PROBE {
+            // A probe that has gone away needs no answer.
+            drop(request.respond(Response::empty(204)));
+            return None;
+        }
         let machine = routes.machine(remote);
         let mut body = Vec::new();
         let read = request
--- a/crates/standin/src/world/gate.rs
+++ b/crates/standin/src/world/gate.rs
@@ -14,21 +14,24 @@
     time::Duration,
 };
 use tokio::{
-    io::copy_bidirectional,
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
     runtime::Handle,
     sync::{Notify, Semaphore, oneshot},
     task::{AbortHandle, JoinHandle},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 /// Connections through all gates; more are dropped at once.
 const MAX_CONNECTIONS: usize = 768;
 /// How long a silent connection is held open.
 const SILENCE: Duration = Duration::from_secs(300);
-/// Time between two connections to the server behind the gates. Its thread pool can
-/// leave a connection unserved that arrives while it wakes its last idle thread.
-const DIAL_GAP: Duration = Duration::from_millis(1);
+/// Path of a probe, sent ahead of a client's bytes.
+pub(super) const PROBE: &str = "/v1/probe";
+/// How long a probe may stay unanswered before the server is nudged.
+const NUDGE: Duration = Duration::from_millis(20);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 #[derive(Debug)]
 struct Route {
@@ -42,7 +45,7 @@
 pub(super) struct Routes {
     server: SocketAddr,
     open: Mutex<BTreeMap<SocketAddr, Route>>,
-    dial: tokio::sync::Mutex<()>,
+    turn: tokio::sync::Mutex<()>,
     room: Arc<Semaphore>,
 }
 
@@ -52,7 +55,7 @@
         Arc::new(Self {
             server,
             open: Mutex::default(),
-            dial: tokio::sync::Mutex::default(),
+            turn: tokio::sync::Mutex::default(),
             room: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
         })
     }
@@ -74,14 +77,31 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// A connection that the server has begun to serve.
+    ///
+    /// The server's thread pool leaves a connection unserved that arrives while its last
+    /// idle thread wakes up. One more connection then starts a new thread, which takes
+    /// the unserved one next.
+    async fn dial(&self) -> io::Result<TcpStream> {
+        let _turn = self.turn.lock().await;
+        let mut server = TcpStream::connect(self.server).await?;
+        let probe = format!("GET {PROBE} HTTP/1.1\r\nhost: probe\r\n\r\n");
+        server.write_all(probe.as_bytes()).await?;
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\r\n\r\n") {
+            match timeout(NUDGE, server.read_u8()).await {
+                Ok(byte) => answer.push(byte?),
+                Err(_) => drop(TcpStream::connect(self.server).await?),
+            }
+        }
+        Ok(server)
+    }
+
     async fn connect(self: &Arc<Self>, machine: &Name, client: TcpStream) -> io::Result<()> {
         let Ok(permit) = self.room.clone().try_acquire_owned() else {
             return Ok(());
         };
-        let dial = self.dial.lock().await;
-        let server = TcpStream::connect(self.server).await?;
-        sleep(DIAL_GAP).await;
-        drop(dial);
+        let server = self.dial().await?;
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
         let remote = server.local_addr()?;
@@ -173,7 +193,7 @@
                 match listener.accept().await {
                     // A connection that cannot be relayed is dropped.
                     Ok((client, _)) => drop(routes.connect(&machine, client).await),
-                    Err(_) => sleep(DIAL_GAP).await,
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
                 }
             }
         }));
--- a/crates/standin/tests/world.rs
+++ b/crates/standin/tests/world.rs
@@ -14,7 +14,10 @@
     world::{KV, LIST, Switch, World},
 };
 use serde_json::{Value, json};
-use std::time::{Duration, Instant};
+use std::{
+    sync::Barrier,
+    time::{Duration, Instant},
+};
 use ureq::{Agent, Body, http::Response};
 
 /// Longest wait for something that has to happen.
@@ -322,3 +325,34 @@
     let report: Report = read(&mut client.get(SERVICE, "/v1/report").unwrap());
     assert_eq!(report.running, 0);
 }
+
+/// Statuses that as many callers get who connect at once and stay connected.
+fn burst(callers: usize) -> Vec<u16> {
+    let client = Client::new();
+    let barrier = Barrier::new(callers);
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..callers)
+            .map(|_| {
+                scope.spawn(|| {
+                    // An agent of its own keeps its connection open and idle.
+                    let own = agent();
+                    barrier.wait();
+                    let answer = own.get(client.url(SERVICE, "/v1/report")).call();
+                    barrier.wait();
+                    answer.unwrap().status().as_u16()
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect()
+    })
+}
+
+#[test]
+fn every_connection_of_a_burst_is_served() {
+    for _ in 0..10 {
+        assert_eq!(burst(48), [200; 48]);
+    }
+}
