Engine stand-in: frame of a token's event rendered once

An engine with 36 streams took 4.2 us a token, mostly to build JSON; with the part around the text rendered once per stream it takes 1.3 to 1.45 us (release build, 500,000 tokens in virtual time, one run before and two after).

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -10,6 +10,8 @@
 use serde_json::{Value, json};
 use std::{fmt, sync::Arc};
 
+/// Stands for the text in the frame of an event; no name contains it.
+const PLACEHOLDER: &str = "\u{fffc}";
 /// Ends a stream of server-sent events.
 const DONE: &str = "data: [DONE]\n\n";
 
@@ -26,6 +28,8 @@
     completion: Completion,
     version: Name,
     stem: u64,
+    /// What stands before and after the text of every event but the last.
+    frame: (String, String),
 }
 
 impl Writer {
@@ -33,11 +37,17 @@
     #[must_use]
     pub fn new(completion: Completion, version: Name) -> Self {
         let stem = stem(&completion.model, &version, &completion.prompt);
-        Self {
+        let mut writer = Self {
             completion,
             version,
             stem,
+            frame: Default::default(),
+        };
+        let event = writer.event(PLACEHOLDER, false).to_string();
+        if let Some((before, after)) = event.split_once(PLACEHOLDER) {
+            writer.frame = (before.to_owned(), after.to_owned());
         }
+        writer
     }
 
     /// The value of `content-type`.
@@ -61,10 +71,13 @@
         let last = done == self.tokens();
         if self.completion.stream {
             let text = format!("{:016x}-{} ", self.stem, done - 1);
-            body.extend(format!("data: {}\n\n", self.event(&text, last)).bytes());
-            if last {
-                body.extend(DONE.bytes());
-            }
+            let event = if last {
+                format!("data: {}\n\n{DONE}", self.event(&text, true))
+            } else {
+                let (before, after) = &self.frame;
+                format!("data: {before}{text}{after}\n\n")
+            };
+            body.extend_from_slice(event.as_bytes());
         } else if last {
             let text = (0..done).fold(String::new(), |text, token| {
                 text + &format!("{:016x}-{token} ", self.stem)
