--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -6,14 +6,14 @@
 use mulberryrack_core::{
     Incarnation, Name, Time,
     claim::{End, Verdict},
-    kv::{Fault, Outcome, Token},
+    kv::{self, Fault, Outcome, Token},
     note::Counter,
     request,
     view::{Peer, Standing, View},
 };
 use mulberryrack_ledger::{Input, Ledger, Output, Settings};
 use mulberryrack_standin::kv::Store;
-use mulberryrack_wire::ledger::Frame;
+use mulberryrack_wire::ledger::{self as wire, Frame};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -92,7 +92,7 @@
         from: Name,
         incarnation: Incarnation,
         token: Token,
-        op: mulberryrack_core::kv::Op,
+        op: kv::Op,
         answer: bool,
     },
 }
@@ -121,6 +121,8 @@
     pub faults: Faults,
     pub store: Store,
     pub down: bool,
+    /// Writes to keys with this part are refused by the service.
+    pub blocked: Option<&'static str>,
     pub hosts: BTreeMap<Name, Host>,
     /// Former lives that may still run.
     pub standing: BTreeMap<Name, (Incarnation, Standing)>,
@@ -142,6 +144,7 @@
             faults,
             store: Store::default(),
             down: false,
+            blocked: None,
             hosts: BTreeMap::new(),
             standing: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -309,6 +312,39 @@
             .map(|given| &given.verdict)
     }
 
+    /// The host that owns shards; for worlds with one shard.
+    pub fn owner(&self) -> Name {
+        let mut owners = self.hosts.values().filter(|host| host.ledger.owned() > 0);
+        owners.next().expect("an owner").name.clone()
+    }
+
+    /// Newest entry of the log; for worlds with one shard.
+    pub fn newest(&mut self) -> wire::Entry {
+        let op = kv::Op::List {
+            prefix: "ledger/001/000/log/".into(),
+            after: None,
+            limit: 1_000,
+        };
+        let Some(kv::Reply::Entries { entries, .. }) = self.store.call(self.now, &op) else {
+            panic!("no list");
+        };
+        entries
+            .iter()
+            .map(|entry| wire::Entry::decode(entry.value.clone()).expect("an entry"))
+            .max_by_key(|entry| entry.sequence)
+            .expect("a log")
+    }
+
+    /// Owner, successor and the other hosts; for worlds with one shard.
+    pub fn parts(&mut self) -> (Name, Name, Vec<Name>) {
+        let entry = self.newest();
+        let owner = Name::from(entry.owner.expect("an owner").host);
+        let successor = Name::from(entry.successor.expect("a successor").host);
+        let mut others = self.names();
+        others.retain(|name| *name != owner && *name != successor);
+        (owner, successor, others)
+    }
+
     pub fn count(&self, counter: Counter) -> u64 {
         self.counts.get(&counter).copied().unwrap_or(0)
     }
@@ -443,13 +479,13 @@
         }
     }
 
-    fn dial(
-        &mut self,
-        from: &Name,
-        life: Incarnation,
-        token: Token,
-        op: mulberryrack_core::kv::Op,
-    ) {
+    fn dial(&mut self, from: &Name, life: Incarnation, token: Token, op: kv::Op) {
+        if let kv::Op::Put { key, .. } = &op
+            && self.blocked.is_some_and(|part| key.contains(part))
+        {
+            self.reply(from, life, token, Err(Fault::NotApplied));
+            return;
+        }
         if self.down {
             let fault = if self.chance(0.5) {
                 Fault::NotApplied
--- /dev/null
+++ b/crates/ledger/tests/retention.rs
@@ -0,0 +1,117 @@
+//! Old entries are folded into segments and deleted after the retention.
+
+mod common;
+
+use common::{Faults, World};
+use mulberryrack_core::{
+    claim::{End, Verdict},
+    kv::{Op, Reply},
+    view::Standing,
+};
+use mulberryrack_ledger::Settings;
+use mulberryrack_wire::ledger as wire;
+use prost::Message;
+use std::{collections::BTreeSet, time::Duration};
+
+const PATIENCE: Duration = Duration::from_secs(1);
+const RETENTION: Duration = Duration::from_secs(120);
+
+fn world() -> World {
+    let settings = Settings {
+        shards: 1,
+        positions: 8,
+        retention: RETENTION,
+        ..Settings::default()
+    };
+    let mut world = World::new(3, 3, settings, Faults::default());
+    world.run(Duration::from_secs(8));
+    world
+}
+
+fn keys(world: &mut World, prefix: &str) -> usize {
+    let op = Op::List {
+        prefix: prefix.into(),
+        after: None,
+        limit: 1_000,
+    };
+    match world.store.call(world.now, &op) {
+        Some(Reply::Entries { entries, .. }) => entries.len(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Grants `ids` one after the other, each in its own entry; says how many were granted.
+fn grant(world: &mut World, ids: std::ops::Range<u128>) -> usize {
+    let host = world.names()[0].clone();
+    ids.filter(|id| {
+        let request = world.claim(&host, *id, 1, PATIENCE);
+        world.run(PATIENCE + Duration::from_millis(10));
+        if world.verdict(request) == Some(&Verdict::Granted) {
+            world.done(&host, request, End::Ran);
+            return true;
+        }
+        false
+    })
+    .count()
+}
+
+/// Ids of the intents that the ring holds.
+fn ring(world: &mut World) -> BTreeSet<u64> {
+    let op = Op::List {
+        prefix: "ledger/001/000/log/".into(),
+        after: None,
+        limit: 1_000,
+    };
+    let Some(Reply::Entries { entries, .. }) = world.store.call(world.now, &op) else {
+        panic!("no list");
+    };
+    entries
+        .iter()
+        .map(|entry| wire::Entry::decode(entry.value.clone()).expect("an entry"))
+        .flat_map(|entry| entry.records.unwrap_or_default().records)
+        .filter(|record| record.kind() == wire::Kind::Intent)
+        .map(|record| record.id_low)
+        .collect()
+}
+
+#[test]
+fn ring_is_not_overwritten_before_its_segment_is_written() {
+    let mut world = world();
+    world.blocked = Some("segment");
+    let granted = grant(&mut world, 0..7);
+    assert_eq!(granted, 7);
+    grant(&mut world, 7..12);
+    assert_eq!(ring(&mut world).range(0..7).count(), 7);
+    world.blocked = None;
+    world.run(Duration::from_secs(5));
+    assert_eq!(grant(&mut world, 20..24), 4);
+    assert!(keys(&mut world, "ledger/001/000/segment/") > 0);
+}
+
+#[test]
+fn takeover_knows_ids_that_only_segments_hold() {
+    let mut world = world();
+    assert_eq!(grant(&mut world, 0..20), 20);
+    let (owner, successor, _) = world.parts();
+    world.crash(&owner, Standing::Dead);
+    world.spread();
+    world.run(Duration::from_secs(3));
+    for id in 0..20 {
+        let request = world.claim(&successor, id, 1, PATIENCE);
+        world.run(PATIENCE + Duration::from_millis(10));
+        assert_ne!(world.verdict(request), Some(&Verdict::Granted), "{id}");
+    }
+}
+
+#[test]
+fn records_and_segments_go_after_the_retention() {
+    let mut world = world();
+    assert_eq!(grant(&mut world, 0..20), 20);
+    assert!(keys(&mut world, "ledger/001/000/segment/") > 1);
+    world.run(RETENTION * 2);
+    assert_eq!(keys(&mut world, "ledger/001/000/segment/"), 0);
+    assert_eq!(keys(&mut world, "ledger/001/000/log/"), 8);
+    let kept: usize = world.hosts.values().map(|host| host.ledger.kept()).sum();
+    assert_eq!(kept, 0);
+    assert_eq!(grant(&mut world, 0..1), 1, "a resend this late runs again");
+}
--- /dev/null
+++ b/crates/ledger/tests/takeover.rs
@@ -0,0 +1,165 @@
+//! Owners that pause, restart, leave or are replaced.
+
+mod common;
+
+use common::{Faults, World};
+use mulberryrack_core::{
+    Name,
+    claim::{End, Verdict},
+    note::Counter,
+    outcome::Doubt,
+    view::Standing,
+};
+use mulberryrack_ledger::Settings;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+const HORIZON: Duration = Duration::from_secs(20);
+
+fn world(hosts: usize) -> World {
+    let settings = Settings {
+        shards: 1,
+        resend_horizon: HORIZON,
+        ..Settings::default()
+    };
+    let mut world = World::new(hosts, 3, settings, Faults::default());
+    world.run(Duration::from_secs(8));
+    world
+}
+
+fn fresh(world: &mut World, host: &Name, id: u128) -> Option<Verdict> {
+    let request = world.claim(host, id, 1, PATIENCE);
+    world.run(PATIENCE + Duration::from_millis(100));
+    world.verdict(request).cloned()
+}
+
+#[test]
+fn superseded_owner_does_not_call_a_body_reused_that_ran() {
+    let mut world = world(4);
+    let (owner, _, others) = world.parts();
+    let first = world.claim(&others[0], 5, 1, PATIENCE);
+    world.run(Duration::from_millis(100));
+    let late = others[1].clone();
+    assert_eq!(fresh(&mut world, &late, 6), Some(Verdict::Granted));
+    world.pause(&owner);
+    world.stand(&owner, Standing::Dead);
+    let names = world.names();
+    for name in names.iter().filter(|name| **name != late) {
+        world.spread_to(name);
+    }
+    world.run(Duration::from_secs(3));
+    world.done(&others[0], first, End::NotSent);
+    world.run(Duration::from_secs(1));
+    let second = world.claim(&others[0], 5, 2, PATIENCE);
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.verdict(second), Some(&Verdict::Granted));
+    world.resume(&owner);
+    // This host still asks the former owner, which remembers the other body.
+    let again = world.claim(&late, 5, 2, PATIENCE);
+    world.run(Duration::from_secs(1));
+    let verdict = world.verdict(again);
+    assert!(matches!(verdict, Some(Verdict::Join { .. })), "{verdict:?}");
+}
+
+#[test]
+fn answer_after_the_end_of_the_claim_is_not_used() {
+    let mut world = world(4);
+    let (_, _, others) = world.parts();
+    assert_eq!(fresh(&mut world, &others[0], 5), Some(Verdict::Granted));
+    let other = world.claim(&others[1], 5, 2, Duration::from_millis(500));
+    world.pause(&others[1]);
+    world.run(Duration::from_secs(2));
+    world.resume(&others[1]);
+    let expected = Verdict::Unknown(Doubt::RecordUnread);
+    assert_eq!(world.verdict(other), Some(&expected));
+}
+
+#[test]
+fn lost_answer_of_a_write_is_resolved_by_the_entry() {
+    let mut world = world(4);
+    let (_, _, others) = world.parts();
+    world.faults.lost_answers = 1.0;
+    let request = world.claim(&others[0], 5, 1, PATIENCE);
+    world.run(Duration::from_millis(150));
+    assert_eq!(world.verdict(request), None);
+    world.faults.lost_answers = 0.0;
+    world.run(PATIENCE);
+    assert_eq!(world.verdict(request), Some(&Verdict::Granted));
+    assert_eq!(world.count(Counter::IntentRecorded), 1);
+}
+
+#[test]
+fn restart_of_the_owner_needs_no_quarantine() {
+    let mut world = world(4);
+    let (owner, _, others) = world.parts();
+    let first = world.claim(&others[0], 5, 1, PATIENCE);
+    world.run(Duration::from_secs(1));
+    world.crash(&owner, Standing::Dead);
+    world.start(&owner);
+    world.spread();
+    assert_eq!(fresh(&mut world, &others[1], 6), Some(Verdict::Granted));
+    let again = fresh(&mut world, &others[1], 5);
+    let joined = matches!(again, Some(Verdict::Join { request, .. }) if request == first);
+    assert!(joined, "{again:?}");
+    world.run(Duration::from_secs(15));
+    assert_eq!(world.owner(), owner, "it is first choice again");
+    assert_eq!(fresh(&mut world, &others[1], 7), Some(Verdict::Granted));
+}
+
+#[test]
+fn all_hosts_replaced_at_once_recover_from_the_service() {
+    let mut world = world(4);
+    let names = world.names();
+    assert_eq!(fresh(&mut world, &names[0], 5), Some(Verdict::Granted));
+    for name in &names {
+        world.crash(name, Standing::Dead);
+        world.start(name);
+    }
+    world.spread();
+    world.run(Duration::from_secs(3));
+    let lost = Some(Verdict::Unknown(Doubt::HostLost));
+    assert_eq!(fresh(&mut world, &names[1], 5), lost);
+    world.run(HORIZON);
+    assert_eq!(fresh(&mut world, &names[1], 6), Some(Verdict::Granted));
+    assert_eq!(fresh(&mut world, &names[2], 5), lost);
+}
+
+#[test]
+fn fleet_that_left_cleanly_starts_without_quarantine() {
+    let mut world = world(4);
+    let names = world.names();
+    assert_eq!(fresh(&mut world, &names[0], 5), Some(Verdict::Granted));
+    for name in &names {
+        world.leave(name);
+        world.run(Duration::from_secs(3));
+        assert!(world.hosts[name].left, "{name}");
+        world.crash(name, Standing::Gone);
+        world.spread();
+    }
+    world.start("host-8");
+    world.start("host-9");
+    world.spread();
+    world.run(Duration::from_secs(3));
+    let host = Name::from("host-8");
+    assert_eq!(fresh(&mut world, &host, 6), Some(Verdict::Granted));
+    let lost = Some(Verdict::Unknown(Doubt::HostLost));
+    assert_eq!(fresh(&mut world, &host, 5), lost);
+}
+
+#[test]
+fn owner_that_leaves_hands_over_without_refusing_claims() {
+    let mut world = world(4);
+    let (owner, _, others) = world.parts();
+    world.leave(&owner);
+    let requests: Vec<_> = (0..50)
+        .map(|id| {
+            world.run(Duration::from_millis(5));
+            world.claim(&others[0], id, 1, PATIENCE)
+        })
+        .collect();
+    world.run(Duration::from_secs(2));
+    assert!(world.hosts[&owner].left);
+    for request in requests {
+        assert_eq!(world.verdict(request), Some(&Verdict::Granted));
+    }
+}
