Spread: changed values travel as patches of the version before

Cause: 30 changed values of 150 bytes a second take 9112 bytes a second of each of 300 hosts, which is the whole of the control budget. Change: a push, and the answer to a host that says what it holds, carries only the bytes that differ, with a hash of the result; a host without the base asks for the whole value. Shown by: spread.rs, changed_value_travels_as_a_patch and value_whose_base_was_missed.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -516,7 +516,7 @@
             return false;
         }
         let values = wire::Values {
-            values: vec![spread::to_wire(value)],
+            values: vec![self.spread.newest(value)],
         };
         for peer in self.few() {
             self.send(&peer, Body::Values(values.clone()));
@@ -525,8 +525,11 @@
     }
 
     /// Takes in a value of another host.
-    fn take_value(&mut self, value: &wire::Value) {
-        let value = spread::from_wire(value);
+    fn take_value(&mut self, from: &Name, sent: &wire::Value) {
+        let Some(value) = self.spread.restore(sent) else {
+            self.want(from, &[sent.id], &[sent.version]);
+            return;
+        };
         let Some(name) = value.key.strip_prefix(hosts::PREFIX) else {
             if self.spread.adopt(&value) {
                 self.cx.out.push(Output::Value(value));
@@ -557,13 +560,16 @@
             }
             Body::Values(values) => {
                 for value in &values.values {
-                    self.take_value(value);
+                    self.take_value(from, value);
                 }
             }
             Body::Announce(announce) => {
                 self.want(from, &announce.ids, &announce.versions);
             }
-            Body::Ask(ask) => self.give(from, &ask.ids),
+            Body::Ask(ask) => {
+                let have = ask.have.into_iter().chain(std::iter::repeat(0));
+                self.give(from, ask.ids.into_iter().zip(have));
+            }
             Body::Digest(digest) => {
                 self.hear(from, &digest.dead);
                 if let Some(compare) = self.spread.compare(&digest) {
@@ -572,7 +578,7 @@
             }
             Body::Compare(compare) => {
                 let missing = self.spread.missing(&compare);
-                self.give(from, &missing);
+                self.give(from, missing.into_iter());
                 self.want(from, &compare.ids, &compare.versions);
             }
             Body::Fetch(fetch) => self.on_fetch(from, &fetch.after),
@@ -600,8 +606,8 @@
         }
     }
 
-    fn give(&mut self, to: &Name, ids: &[u64]) {
-        for values in self.spread.values(ids) {
+    fn give(&mut self, to: &Name, asked: impl Iterator<Item = (u64, u64)>) {
+        for values in self.spread.values(asked) {
             self.send(to, Body::Values(values));
         }
     }
@@ -624,7 +630,7 @@
 
     fn on_ping(&mut self, from: &Name, ping: &wire::Ping) {
         if let Some(host) = &ping.host {
-            self.take_value(host);
+            self.take_value(from, host);
         }
         if let Some(beat) = &ping.beat {
             self.on_beat(from, beat);
@@ -646,7 +652,7 @@
             return;
         }
         if let Some(host) = &ack.host {
-            self.take_value(host);
+            self.take_value(from, host);
         }
         if let Some(beat) = &ack.beat {
             self.on_beat(from, beat);
@@ -707,7 +713,7 @@
 
     fn on_page(&mut self, from: &Name, page: &wire::Page) {
         for value in &page.values {
-            self.take_value(value);
+            self.take_value(from, value);
         }
         for rumour in &page.dead {
             self.hosts.bury(&self.cx, rumour);
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -2,8 +2,10 @@
 //! that adopts them, and compared now and then to repair what was lost.
 
 use crate::hosts;
+use bytes::Bytes;
 use mulberryrack_core::{Name, Time, hash, view::Value};
 use mulberryrack_wire::member::{self as wire, Announce, Ask, Compare, Digest};
+use prost::Message;
 use std::{collections::BTreeMap, ops::Bound, time::Duration};
 
 /// Buckets that are kept up to date; digests fold them.
@@ -21,6 +23,8 @@
 struct Slot {
     value: Value,
     id: u64,
+    /// The version that was replaced, to patch from.
+    before: Option<(u64, Bytes)>,
 }
 
 /// All values, by key.
@@ -47,11 +51,14 @@
     /// Takes in a value. Returns whether it is newer than the known one.
     pub fn adopt(&mut self, value: &Value) -> bool {
         let id = hash::stable(value.key.as_bytes(), 0);
-        let known = self.slots.get(&value.key).map(|slot| slot.value.version);
-        if known.is_some_and(|known| known >= value.version) {
-            return false;
-        }
-        if let Some(known) = known {
+        let before = self
+            .slots
+            .get(&value.key)
+            .map(|slot| (slot.value.version, slot.value.bytes.clone()));
+        if let Some((known, _)) = before {
+            if known >= value.version {
+                return false;
+            }
             self.mix(id, known);
         }
         self.mix(id, value.version);
@@ -61,6 +68,7 @@
             Slot {
                 value: value.clone(),
                 id,
+                before,
             },
         );
         self.asked.remove(&id);
@@ -138,20 +146,53 @@
             self.asked.insert(*id, (*version, now));
         }
         (!wanted.is_empty()).then(|| Ask {
-            ids: wanted.into_iter().map(|(id, _)| id).collect(),
+            ids: wanted.iter().map(|(id, _)| *id).collect(),
+            have: wanted
+                .iter()
+                .map(|(id, _)| self.version(*id).unwrap_or(0))
+                .collect(),
         })
     }
 
-    /// The values asked for, in frames of bounded size.
-    pub fn values(&self, ids: &[u64]) -> Vec<wire::Values> {
-        let values = ids
-            .iter()
-            .filter_map(|id| self.keys.get(id))
-            .filter_map(|key| self.slots.get(key))
-            .map(|slot| to_wire(&slot.value));
+    /// The values asked for, each as a patch of the version that the asker holds where
+    /// that is at hand, in frames of bounded size.
+    pub fn values(&self, asked: impl Iterator<Item = (u64, u64)>) -> Vec<wire::Values> {
+        let values = asked
+            .filter_map(|(id, have)| Some((self.keys.get(&id)?, have)))
+            .filter_map(|(key, have)| Some((self.slots.get(key)?, have)))
+            .map(|(slot, have)| slot.patch(have).unwrap_or_else(|| to_wire(&slot.value)));
         batches(values)
     }
 
+    /// A value as a patch of the version before it, or whole.
+    pub fn newest(&self, value: &Value) -> wire::Value {
+        self.slots
+            .get(&value.key)
+            .and_then(|slot| slot.patch(slot.before.as_ref()?.0))
+            .unwrap_or_else(|| to_wire(value))
+    }
+
+    /// The value that was sent; `None` for a patch whose base is not held.
+    pub fn restore(&self, sent: &wire::Value) -> Option<Value> {
+        if !sent.key.is_empty() {
+            return Some(from_wire(sent));
+        }
+        let slot = self.slots.get(self.keys.get(&sent.id)?)?;
+        if slot.value.version != sent.base {
+            return None;
+        }
+        let base = &slot.value.bytes;
+        let prefix = usize::try_from(sent.prefix).ok()?;
+        let suffix = usize::try_from(sent.suffix).ok()?;
+        let tail = base.len().checked_sub(suffix)?;
+        let bytes = [base.get(..prefix)?, &sent.bytes, &base[tail..]].concat();
+        (check(&bytes) == sent.check).then(|| Value {
+            key: slot.value.key.clone(),
+            version: sent.version,
+            bytes: bytes.into(),
+        })
+    }
+
     /// Hashes of all values, with about [`KEYS_PER_BUCKET`] keys each.
     pub fn digest(&self) -> Digest {
         let count = (self.slots.len() / KEYS_PER_BUCKET)
@@ -205,8 +246,9 @@
         held
     }
 
-    /// Key hashes of values that the sender of a comparison lacks.
-    pub fn missing(&self, compare: &Compare) -> Vec<u64> {
+    /// Key hashes of values that the sender of a comparison lacks, with the versions that
+    /// it holds.
+    pub fn missing(&self, compare: &Compare) -> Vec<(u64, u64)> {
         let count = usize::try_from(compare.count).unwrap_or(0);
         if !count.is_power_of_two() || count > BUCKETS {
             return Vec::new();
@@ -224,7 +266,7 @@
             .filter_map(|index| held.get(usize::try_from(*index).ok()?))
             .flatten()
             .filter(|(id, version)| theirs.get(id).is_none_or(|known| known < version))
-            .map(|(id, _)| *id)
+            .map(|(id, _)| (*id, theirs.get(id).copied().unwrap_or(0)))
             .take(MAX_IDS)
             .collect()
     }
@@ -252,6 +294,37 @@
     }
 }
 
+impl Slot {
+    /// The value as a patch of a version, if that is the one that it replaced.
+    fn patch(&self, have: u64) -> Option<wire::Value> {
+        let (base, old) = self.before.as_ref().filter(|(base, _)| *base == have)?;
+        let new = &self.value.bytes;
+        let most = old.len().min(new.len());
+        let prefix = common(old.iter().zip(new.iter()), most);
+        let suffix = common(old.iter().rev().zip(new.iter().rev()), most - prefix);
+        let patch = wire::Value {
+            version: self.value.version,
+            bytes: new.slice(prefix..new.len() - suffix),
+            id: self.id,
+            base: *base,
+            prefix: u32::try_from(prefix).ok()?,
+            suffix: u32::try_from(suffix).ok()?,
+            check: check(new),
+            ..wire::Value::default()
+        };
+        (patch.encoded_len() < size(&self.value)).then_some(patch)
+    }
+}
+
+/// Length of the common start of two texts, at most `most`.
+fn common<'a>(pairs: impl Iterator<Item = (&'a u8, &'a u8)>, most: usize) -> usize {
+    pairs.take(most).take_while(|(a, b)| a == b).count()
+}
+
+fn check(bytes: &[u8]) -> u32 {
+    low(hash::stable(bytes, 0))
+}
+
 fn bucket(id: u64, count: usize) -> usize {
     usize::try_from(id % count as u64).unwrap_or(0)
 }
@@ -270,10 +343,11 @@
         key: value.key.to_string(),
         version: value.version,
         bytes: value.bytes.clone(),
+        ..wire::Value::default()
     }
 }
 
-pub(crate) fn from_wire(value: &wire::Value) -> Value {
+fn from_wire(value: &wire::Value) -> Value {
     Value {
         key: value.key.as_str().into(),
         version: value.version,
--- a/crates/member/tests/spread.rs
+++ b/crates/member/tests/spread.rs
@@ -102,3 +102,56 @@
     assert_eq!(newcomer.values.len(), 10_000);
     assert!(fleet.largest_frame < 64 * 1_024, "{}", fleet.largest_frame);
 }
+
+#[test]
+fn changed_value_travels_as_a_patch() {
+    let mut fleet = Fleet::new(9, 6);
+    fleet.run_ms(5_000);
+    let mut changing = value(1, 1);
+    changing.bytes = vec![0; 4_000].into();
+    fleet.tell(&host(1), Input::Publish(changing.clone()));
+    fleet.run_ms(3_000);
+    let sent = |fleet: &Fleet| fleet.nodes.values().map(|node| node.bytes).sum::<u64>();
+    let before = sent(&fleet);
+    for version in 2..12 {
+        let mut bytes = changing.bytes.to_vec();
+        bytes[2_000] = u8::try_from(version).unwrap();
+        changing.bytes = bytes.into();
+        changing.version = version;
+        fleet.tell(&host(1), Input::Publish(changing.clone()));
+        fleet.run_ms(2_000);
+    }
+    assert_eq!(missing(&fleet, &changing), 0);
+    // Ten whole values to eight hosts are more than 320,000 bytes.
+    let used = sent(&fleet) - before;
+    assert!(used < 80_000, "{used} bytes");
+}
+
+#[test]
+fn value_whose_base_was_missed_is_asked_for() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(5, seed);
+        fleet.run_ms(5_000);
+        fleet.loss = 0.5;
+        for version in 1..20_u8 {
+            let mut changing = value(1, version.into());
+            changing.bytes = vec![version; 40 + 3 * usize::from(version)].into();
+            fleet.tell(&host(1), Input::Publish(changing));
+            fleet.run_ms(150);
+        }
+        fleet.loss = 0.0;
+        fleet.run_ms(20_000);
+        let first = fleet
+            .node(&host(1))
+            .values
+            .get("engine/engine-00001")
+            .cloned();
+        for node in fleet.nodes.values() {
+            assert_eq!(
+                node.values.get("engine/engine-00001"),
+                first.as_ref(),
+                "seed {seed}"
+            );
+        }
+    }
+}
