Route: model-based test of what callers are told

150 random schedules of crashes, restarts, silence, lost and doubled frames, slow ledgers, host deaths and resends: no answer cut, spliced or crossed, one end a request, no second run of what may not be repeated, no 'not run' beside a recorded run. The same schedule gives the same outputs.

--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -651,6 +651,14 @@
             .count()
     }
 
+    /// Whether a request with this body had begun to run before a moment.
+    pub fn began(&self, name: &str, before: Time) -> bool {
+        self.upstreams
+            .values()
+            .flat_map(|fake| &fake.runs)
+            .any(|run| run.name == name && run.at < before)
+    }
+
     pub fn count(&self, counter: Counter) -> u32 {
         let of = |host: &Host| host.counts.get(&counter).copied().unwrap_or(0);
         self.hosts.iter().map(of).sum()
--- a/crates/route/tests/common/upstream.rs
+++ b/crates/route/tests/common/upstream.rs
@@ -350,7 +350,7 @@
         stream.reader = Some(send.attempt);
         stream.given = usize::try_from(offset).unwrap();
         let mut effects = vec![reply(200)];
-        effects.extend(give(stream, ms(2)));
+        effects.extend(give(stream, ms(1)));
         effects
     }
 
--- /dev/null
+++ b/crates/route/tests/model.rs
@@ -0,0 +1,219 @@
+//! Random schedules of faults against what a caller may be told.
+//!
+//! Whatever happens: an answer is whole or said not to be, of a single run and of its own
+//! request; each request has one final answer; what may not be repeated runs at most
+//! once; and "not run" never meets a recorded run.
+
+mod common;
+
+use common::{Mode, World, ms, row};
+use mulberryrack_core::{
+    outcome::Outcome,
+    request::{Key, Priority},
+};
+use mulberryrack_route::Input;
+use mulberryrack_table::Kind;
+use rand::RngExt;
+use std::collections::BTreeMap;
+
+/// Schedules tried.
+const SEEDS: u64 = 150;
+
+const ENGINES: [&str; 4] = ["engine-0", "engine-1", "engine-2", "engine-3"];
+const SERVICES: [&str; 4] = ["check-0", "check-1", "booking-0", "booking-1"];
+
+fn world(seed: u64) -> World {
+    let mut booking = row("booking", Kind::Service);
+    booking.repeatable = false;
+    let mut draft = row("draft", Kind::Model);
+    draft.repeatable = false;
+    draft.ceiling = 5;
+    let mut alpha = row("alpha", Kind::Model);
+    alpha.priority = Priority::Urgent;
+    alpha.ceiling = 6;
+    let rows = vec![alpha, row("check", Kind::Service), booking, draft];
+    let mut world = World::new(seed, 3, rows);
+    for name in ENGINES {
+        world.engine(name, 4, &["alpha", "draft"]);
+    }
+    for name in SERVICES {
+        world.service(name, 4, name.split('-').next().unwrap());
+    }
+    world
+}
+
+struct Schedule {
+    world: World,
+    sent: Vec<(usize, Key)>,
+    /// Lives of hosts that ended while they had requests.
+    ended: Vec<(usize, Key)>,
+    names: u32,
+}
+
+impl Schedule {
+    fn draw(&mut self, below: usize) -> usize {
+        self.world.rng.random_range(0..below)
+    }
+
+    fn send(&mut self) {
+        let host = self.draw(3);
+        let target = ["alpha", "check", "booking", "draft"][self.draw(4)];
+        self.names += 1;
+        // Resends through any host, before, during and after the first answer.
+        let back = u32::try_from(self.draw(8)).unwrap();
+        let name = format!("{target} {}", self.names.saturating_sub(back));
+        let keyed = matches!(target, "booking" | "draft");
+        let deadline = [400, 2_000, 6_000][self.draw(3)];
+        let fresh = format!("{target} single {}", self.names);
+        let single = self.draw(4) == 0;
+        let name = if keyed && !single { name } else { fresh };
+        let mut request = self.world.request(target, &name, ms(deadline));
+        if keyed && !single {
+            request.idempotency = Some(name.as_str().into());
+        }
+        let id = self.world.arrive(host, request);
+        if self.world.hosts[host].router.is_some() {
+            self.sent.push(id);
+        }
+    }
+
+    fn disturb(&mut self) {
+        let any = self.draw(8);
+        let name = *ENGINES.iter().chain(&SERVICES).nth(any).unwrap();
+        let host = self.draw(3);
+        match self.draw(16) {
+            0 => self.world.crash(name),
+            1 | 2 => self.world.restart(name),
+            3 => self.world.fake(name).mode = Mode::Silent,
+            4 => self.world.fake(name).mode = Mode::Status(503),
+            5 => self.world.fake(name).mode = Mode::Status(500),
+            6 | 7 => self.world.fake(name).mode = Mode::Serving,
+            8 => self.world.fake(name).mute_after = Some(2),
+            9 => self.world.fake(name).break_after = Some(1),
+            10 => self.world.fake(name).pool_dead ^= true,
+            11 => self.world.fake(name).leaving ^= true,
+            12 => self.world.loss = [0, 20, 60][host],
+            13 => self.world.disorder = [0, 30, 60][host],
+            14 => self.world.ledger_delay = Some(ms([2, 100, 1_500][host])),
+            _ => self.end_host(host),
+        }
+    }
+
+    fn end_host(&mut self, host: usize) {
+        if self.world.hosts[host].router.is_none() {
+            self.world.start(host);
+            return;
+        }
+        let open = self.sent.iter().filter(|id| id.0 == host);
+        let open = open.filter(|id| self.world.told[id].ends.is_empty());
+        self.ended.extend(open.copied().collect::<Vec<_>>());
+        self.world.kill(host);
+    }
+
+    fn leave(&mut self) {
+        let index = self.draw(self.sent.len().max(1));
+        let Some(id) = self.sent.get(index).copied() else {
+            return;
+        };
+        if self.world.told[&id].ends.is_empty() {
+            self.world.input(id.0, Input::Gone(id.1));
+            self.ended.push(id);
+        }
+    }
+
+    fn run(seed: u64) -> Self {
+        let mut schedule = Self {
+            world: world(seed),
+            sent: Vec::new(),
+            ended: Vec::new(),
+            names: 0,
+        };
+        for _ in 0..400 {
+            schedule.send();
+            if schedule.draw(4) == 0 {
+                schedule.disturb();
+            }
+            if schedule.draw(20) == 0 {
+                schedule.leave();
+            }
+            let pause = u64::try_from(schedule.draw(40)).unwrap();
+            schedule.world.run(ms(pause));
+        }
+        schedule.world.run(ms(15_000));
+        schedule
+    }
+
+    fn check(&self, seed: u64) -> BTreeMap<&'static str, usize> {
+        let mut kinds = BTreeMap::new();
+        for id in &self.sent {
+            let told = &self.world.told[id];
+            self.world.check_part(*id);
+            let runs = self.world.runs(&told.name);
+            match told.outcome() {
+                Some(Outcome::Ran) => {
+                    if told.status == Some(200) {
+                        self.world.check_whole(*id);
+                        assert!(runs > 0);
+                    }
+                    *kinds.entry("ran").or_default() += 1;
+                }
+                Some(Outcome::NotRun(refusal)) => {
+                    let others = self
+                        .sent
+                        .iter()
+                        .filter(|other| self.world.told[other].name == told.name);
+                    if others.count() == 1 {
+                        assert_eq!(runs, 0, "seed {seed}: {refusal:?} {told:?}");
+                    }
+                    // Not even an earlier send of the same key had run.
+                    let earlier = self.world.began(&told.name, told.sent);
+                    assert!(!earlier, "seed {seed}: {refusal:?} {told:?}");
+                    *kinds.entry("not-run").or_default() += 1;
+                }
+                Some(Outcome::Unknown(_)) => *kinds.entry("unknown").or_default() += 1,
+                None => assert!(self.ended.contains(id), "seed {seed}: no end for {told:?}"),
+            }
+            if matches!(told.target.as_str(), "booking" | "draft") {
+                assert!(runs <= 1, "seed {seed}: {runs} runs of {}", told.name);
+            }
+        }
+        for (target, ceiling) in [("draft", 5), ("alpha", 6)] {
+            // A hedged request may be at two engines for a moment.
+            let hedges = if target == "alpha" { 2 } else { 1 };
+            let most = self.world.most.get(target).copied().unwrap_or(0);
+            assert!(most <= ceiling * hedges, "seed {seed}: {most} of {target}");
+        }
+        kinds
+    }
+}
+
+#[test]
+fn callers_are_told_the_truth_whatever_happens() {
+    let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+    for seed in 0..SEEDS {
+        let schedule = Schedule::run(seed);
+        for (what, count) in schedule.check(seed) {
+            *seen.entry(what).or_default() += count;
+        }
+    }
+    // The schedules reach every kind of end.
+    assert!(
+        seen["ran"] > 1_000 && seen["not-run"] > 1_000 && seen["unknown"] > 200,
+        "{seen:?}"
+    );
+}
+
+#[test]
+fn the_same_schedule_gives_the_same_answers() {
+    for seed in 0..3 {
+        let [one, other] = [Schedule::run(seed), Schedule::run(seed)];
+        assert_eq!(
+            format!("{:?}", one.world.told),
+            format!("{:?}", other.world.told)
+        );
+        assert_eq!(
+            format!("{:?}", one.world.sends),
+            format!("{:?}", other.world.sends)
+        );
+    }
+}
