--- a/crates/member/src/hosts.rs
+++ b/crates/member/src/hosts.rs
@@ -51,6 +51,8 @@
     pub health: Health,
     /// Since when it has this health.
     pub since: Time,
+    /// Whether it is a probe of this host that it did not answer.
+    pub unanswered: bool,
     pub leaving: bool,
     pub weight: u32,
     /// Highest version of the table known to be in force on it.
@@ -75,6 +77,7 @@
             stamp: 0,
             health: Health::Unheard,
             since: now,
+            unanswered: false,
             leaving: false,
             weight: 0,
             table: 0,
@@ -91,6 +94,7 @@
     fn set(&mut self, health: Health, now: Time) {
         self.health = health;
         self.since = now;
+        self.unanswered = false;
     }
 }
 
@@ -112,6 +116,8 @@
     sweep_at: Time,
     /// Whether the own record has to be published.
     pub publish: bool,
+    /// The latest life seen under this host's name.
+    latest: Incarnation,
 }
 
 impl Hosts {
@@ -130,6 +136,7 @@
             view_at: cx.now,
             sweep_at: cx.now,
             publish: true,
+            latest: Incarnation(0),
         };
         hosts.view = Arc::new(hosts.build());
         hosts
@@ -213,6 +220,7 @@
             stamp,
             health: Health::Alive,
             since: cx.now,
+            unanswered: false,
             leaving: record.leaving,
             weight: record.weight,
             table: old.as_ref().filter(|_| !fresh).map_or(0, |host| host.table),
@@ -220,6 +228,7 @@
             absent: old.and_then(|host| host.absent),
         };
         self.map.insert(name.clone(), host);
+        self.forgotten.remove(name);
         self.dirty = true;
         if fresh {
             cx.note(
@@ -256,6 +265,13 @@
         true
     }
 
+    /// The host is suspect because it did not answer a probe of this one.
+    pub fn unanswered(&mut self, name: &str) {
+        if let Some(host) = self.map.get_mut(name) {
+            host.unanswered = true;
+        }
+    }
+
     /// A host is said to be dead by a peer that serves this one its first values.
     pub fn bury(&mut self, cx: &Context, rumour: &Rumour) {
         if let Some(host) = self.map.get_mut(&*rumour.name)
@@ -325,8 +341,13 @@
         let (now, settings) = (cx.now, cx.settings.clone());
         let mut dead = Vec::new();
         for host in self.map.values_mut() {
-            let over = now.since(host.since) >= settings.suspicion;
-            if over && matches!(host.health, Health::Suspect | Health::Unheard) {
+            let bound = match host.health {
+                Health::Suspect => settings.suspicion,
+                // Its record may still be on the way.
+                Health::Unheard => settings.suspicion + settings.repair * 2,
+                Health::Alive | Health::Dead => Duration::MAX,
+            };
+            if now.since(host.since) >= bound {
                 if host.health == Health::Suspect {
                     dead.push(host.peer.name.clone());
                 }
@@ -360,11 +381,24 @@
         }
     }
 
-    /// Whether the record of a host is still kept; values of dropped hosts go too.
+    /// Whether values that belong to a host are still kept.
     pub fn keeps(&self, name: &str) -> bool {
         !self.forgotten.contains_key(name)
     }
 
+    /// A record of a later life under this host's name exists: this one is not listened
+    /// to any more.
+    pub fn superseded(&mut self, cx: &mut Context, stamp: u64) {
+        if life(stamp) > self.me.incarnation.max(self.latest) {
+            self.latest = life(stamp);
+            cx.note(
+                Note::new(Level::Error, "host-superseded")
+                    .with("incarnation", self.me.incarnation.0)
+                    .with("later", life(stamp).0),
+            );
+        }
+    }
+
     fn refresh(&mut self, cx: &mut Context) {
         let last_listing = self.last_listing;
         for host in self.map.values_mut() {
@@ -433,16 +467,19 @@
         }
     }
 
-    /// Whether most hosts of the data centre are in contact, this one included.
+    /// Whether most hosts of the data centre are in contact, this one included; of all
+    /// hosts where the data centre has no other.
     pub fn majority(&self) -> bool {
-        let near = self
-            .map
-            .values()
-            .filter(|host| host.peer.data_centre == self.me.data_centre)
-            .filter(|host| host.peer.standing != Standing::Gone && host.stamp != 0);
-        let (answering, all) = near.fold((1, 1), |(answering, all), host| {
-            (answering + usize::from(host.reachable()), all + 1)
-        });
+        let known = |host: &&Host| host.peer.standing != Standing::Gone && host.stamp != 0;
+        let near = |host: &&Host| host.peer.data_centre == self.me.data_centre;
+        let count = |hosts: Vec<&Host>| {
+            let answering = hosts.iter().filter(|host| host.reachable()).count();
+            (answering + 1, hosts.len() + 1)
+        };
+        let (answering, all) = match count(self.map.values().filter(known).filter(near).collect()) {
+            (_, 1) => count(self.map.values().filter(known).collect()),
+            counts => counts,
+        };
         answering * 2 > all
     }
 }
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     context::Context,
-    hosts::{Health, Hosts},
+    hosts::{Health, Host, Hosts},
 };
 use mulberryrack_core::{Incarnation, Name, Time, earliest, hash};
 use mulberryrack_wire::member::Rumour;
@@ -16,12 +16,14 @@
 /// A probe fails after this many heartbeats.
 const FAIL_BEATS: u32 = 2;
 /// A host that got no answer for this many heartbeats doubts itself.
-const DOUBT_BEATS: u32 = 4;
+const DOUBT_BEATS: u32 = 2;
 /// Hosts probed at once by a host that has not had an answer yet.
 const FIRST_CONTACTS: usize = 4;
 
 /// Hosts that probe a suspect again, in each heartbeat.
 const SECOND_PROBES: usize = 8;
+/// Suspects of its own that a host probes again, in each heartbeat.
+const OWN_SUSPECTS: usize = 3;
 
 #[derive(Clone, Debug)]
 struct Flight {
@@ -121,8 +123,8 @@
         self.fail(cx, hosts);
         if cx.now >= self.next_probe {
             self.next_probe = cx.now + cx.settings.heartbeat;
-            let targets = [self.next_target(cx, hosts), suspect_host(cx, hosts)];
-            for target in targets.into_iter().flatten() {
+            let next = self.next_target(cx, hosts);
+            for target in suspects(cx, hosts).into_iter().chain(next) {
                 acts.push(self.ping(cx.now, target));
             }
         }
@@ -211,8 +213,11 @@
         self.flights = open;
         for flight in failed {
             let stamp = hosts.map.get(&flight.target).map_or(0, |host| host.stamp);
-            if hosts.suspect(cx, &flight.target, stamp) && !self.doubts(cx) {
-                self.spread(hosts, &flight.target, stamp);
+            if hosts.suspect(cx, &flight.target, stamp) {
+                hosts.unanswered(&flight.target);
+                if !self.doubts(cx) {
+                    self.spread(hosts, &flight.target, stamp);
+                }
             }
         }
     }
@@ -252,19 +257,26 @@
         rumours
     }
 
-    /// Takes in rumours; those on other hosts only if the sender is itself held alive.
-    pub fn hear(&mut self, cx: &mut Context, hosts: &mut Hosts, from: &str, rumours: &[Rumour]) {
-        let credible = hosts
-            .map
-            .get(from)
-            .is_some_and(|host| host.health == Health::Alive);
+    /// Takes in rumours. Returns the hosts that have a newer record than the sender goes
+    /// by.
+    pub fn hear(&mut self, cx: &mut Context, hosts: &mut Hosts, rumours: &[Rumour]) -> Vec<Name> {
+        let mut outdated = Vec::new();
         for rumour in rumours {
-            if rumour.name == *hosts.me.name {
+            let name: &str = &rumour.name;
+            if *name == *hosts.me.name {
                 hosts.refute(rumour.stamp);
-            } else if credible && hosts.suspect(cx, &rumour.name, rumour.stamp) {
-                self.spread(hosts, &rumour.name, rumour.stamp);
+                outdated.push(hosts.me.name.clone());
+            } else if hosts
+                .map
+                .get(name)
+                .is_some_and(|it| it.stamp > rumour.stamp)
+            {
+                outdated.push(name.into());
+            } else if hosts.suspect(cx, name, rumour.stamp) {
+                self.spread(hosts, name, rumour.stamp);
             }
         }
+        outdated
     }
 
     /// Takes in an answer. Returns when the probe was sent, if it was one of this
@@ -341,18 +353,20 @@
     }
 }
 
-/// A random suspect, to be probed once more. All hosts together probe a few times.
-fn suspect_host(cx: &mut Context, hosts: &Hosts) -> Option<Name> {
-    let suspects: Vec<&Name> = hosts
+/// Suspects to be probed once more: those that did not answer this host, and now and then
+/// one that others suspect, so that all hosts together probe it a few times.
+fn suspects(cx: &mut Context, hosts: &Hosts) -> Vec<Name> {
+    let (mut own, others): (Vec<&Host>, Vec<&Host>) = hosts
         .map
-        .iter()
-        .filter(|(_, host)| host.health == Health::Suspect)
-        .map(|(name, _)| name)
-        .collect();
-    if suspects.is_empty() || cx.below(hosts.size()) >= SECOND_PROBES {
-        return None;
+        .values()
+        .filter(|host| host.health == Health::Suspect)
+        .partition(|host| host.unanswered);
+    cx.shuffle(&mut own);
+    own.truncate(OWN_SUSPECTS);
+    if !others.is_empty() && cx.below(hosts.size()) < SECOND_PROBES {
+        own.push(others[cx.below(others.len())]);
     }
-    Some(suspects[cx.below(suspects.len())].clone())
+    own.into_iter().map(|host| host.peer.name.clone()).collect()
 }
 
 /// A random host that is dead and not gone.
--- a/crates/member/src/proposal.rs
+++ b/crates/member/src/proposal.rs
@@ -7,14 +7,16 @@
 };
 use bytes::Bytes;
 use mulberryrack_core::{
-    Name, Time,
+    Time,
     kv::{Entry, Fault, Op, Outcome, Reply, Revision},
 };
-use mulberryrack_table::{Row, Table};
+use mulberryrack_table::Table;
 use mulberryrack_wire::member::Record;
 use prost::Message;
 use std::{sync::Arc, time::Duration};
 
+/// Most bytes of a table as a whole; the service takes a little more.
+const MAX_RECORD: usize = 1_000_000;
 /// Time between two tries of a call that failed.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -58,9 +60,7 @@
 pub(crate) struct Proposal {
     pub ticket: u64,
     parent: u64,
-    change: Name,
-    author: Name,
-    rows: Arc<[Row]>,
+    table: Table,
     until: Time,
     retry_at: Time,
     in_flight: bool,
@@ -70,21 +70,12 @@
 }
 
 impl Proposal {
-    pub fn new(
-        ticket: u64,
-        parent: u64,
-        change: Name,
-        author: Name,
-        rows: Arc<[Row]>,
-        now: Time,
-        settings: &Settings,
-    ) -> Self {
+    /// A proposal of a table to follow the version before it.
+    pub fn new(ticket: u64, table: Table, now: Time, settings: &Settings) -> Self {
         Self {
             ticket,
-            parent,
-            change,
-            author,
-            rows,
+            parent: table.version - 1,
+            table,
             until: now + settings.accept,
             retry_at: now,
             in_flight: false,
@@ -93,6 +84,12 @@
         }
     }
 
+    /// Whether the table can be stored and will be adopted by every host.
+    pub fn is_valid(&self) -> bool {
+        let sorted = self.table.rows.is_sorted_by(|a, b| a.name < b.name);
+        sorted && record::full(&self.table).encoded_len() <= MAX_RECORD
+    }
+
     pub fn next_wake(&self) -> Time {
         if self.in_flight {
             self.until
@@ -168,8 +165,11 @@
         self.in_flight = false;
         let stage = self.stage.clone();
         match (stage, outcome) {
-            (Stage::Head, Ok(Reply::Entry(Some(entry))))
-            | (Stage::Swap { .. }, Ok(Reply::Conflict(Some(entry)))) => self.judge(now, entry),
+            (Stage::Head, Ok(Reply::Entry(Some(entry)))) => self.judge(now, entry),
+            (Stage::Swap { .. }, Ok(Reply::Conflict(Some(entry)))) => {
+                self.retry_at = now + RETRY;
+                self.judge(now, entry)
+            }
             (Stage::Head, Ok(Reply::Entry(None))) if self.parent == 0 => {
                 self.swap(None, None);
                 Step::Open
@@ -210,13 +210,10 @@
     }
 
     fn swap(&mut self, expect: Option<Revision>, base: Option<&Table>) {
-        let table = Table {
-            version: self.parent + 1,
-            change: self.change.clone(),
-            author: self.author.clone(),
-            rows: self.rows.clone(),
-        };
-        let record = base.map_or_else(|| record::full(&table), |base| record::step(base, &table));
+        let record = base.map_or_else(
+            || record::full(&self.table),
+            |base| record::step(base, &self.table),
+        );
         self.stage = Stage::Swap { expect, record };
     }
 
@@ -228,7 +225,7 @@
         };
         let revision = entry.revision;
         let wanted = self.parent + 1;
-        if head.version == wanted && *head.change == *self.change {
+        if head.version == wanted && *head.change == *self.table.change {
             return Step::Won(Box::new(head), revision);
         }
         self.stage = match head.version {
@@ -249,7 +246,7 @@
             self.retry_at = now + RETRY;
             return Step::Open;
         };
-        if *record.change == *self.change {
+        if *record.change == *self.table.change {
             return Step::WonBefore(record.version);
         }
         self.stage = Stage::Beaten {
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -8,6 +8,8 @@
 use prost::Message;
 use std::{collections::BTreeMap, ops::Bound, time::Duration};
 
+/// Prefixes of keys that belong to the host whose name follows, and go with it.
+const OWNED: [&str; 2] = [hosts::PREFIX, "suspect/"];
 /// Buckets that are kept up to date; digests fold them.
 const BUCKETS: usize = 1_024;
 /// Keys for each bucket of a digest.
@@ -84,12 +86,14 @@
         }
     }
 
-    /// Keys of host records.
-    pub fn host_keys(&self) -> impl Iterator<Item = &Name> {
-        self.slots
-            .range::<str, _>((Bound::Included(hosts::PREFIX), Bound::Unbounded))
-            .map(|(key, _)| key)
-            .take_while(|key| key.starts_with(hosts::PREFIX))
+    /// Keys that belong to one host.
+    pub fn owned_keys(&self) -> impl Iterator<Item = &Name> {
+        OWNED.iter().flat_map(|prefix| {
+            self.slots
+                .range::<str, _>((Bound::Included(*prefix), Bound::Unbounded))
+                .map(|(key, _)| key)
+                .take_while(move |key| key.starts_with(prefix))
+        })
     }
 
     fn mix(&mut self, id: u64, version: u64) {
@@ -164,6 +168,11 @@
         batches(values)
     }
 
+    /// A value in its sent form.
+    pub fn whole(&self, key: &str) -> Option<wire::Value> {
+        self.slots.get(key).map(|slot| to_wire(&slot.value))
+    }
+
     /// A value as a patch of the version before it, or whole.
     pub fn newest(&self, value: &Value) -> wire::Value {
         self.slots
@@ -316,6 +325,11 @@
     }
 }
 
+/// The host that a key belongs to.
+pub(crate) fn owner(key: &str) -> Option<&str> {
+    OWNED.iter().find_map(|prefix| key.strip_prefix(prefix))
+}
+
 /// Length of the common start of two texts, at most `most`.
 fn common<'a>(pairs: impl Iterator<Item = (&'a u8, &'a u8)>, most: usize) -> usize {
     pairs.take(most).take_while(|(a, b)| a == b).count()
--- a/crates/member/src/store.rs
+++ b/crates/member/src/store.rs
@@ -104,7 +104,11 @@
 
     /// An operator proposes a version.
     pub fn propose(&mut self, cx: &mut Context, proposal: Proposal) {
-        if self.proposals.len() >= MAX_WAITING {
+        let valid = proposal.is_valid();
+        if !valid {
+            cx.note(Note::new(Level::Error, "table-not-storable"));
+        }
+        if !valid || self.proposals.len() >= MAX_WAITING {
             cx.out.push(Output::Accepted {
                 ticket: proposal.ticket,
                 verdict: Verdict::NotWritten,
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -81,6 +81,7 @@
 #[test]
 fn host_that_only_sends_is_dead_and_disturbs_nobody_else() {
     let mut fleet = started(7, 4);
+    let cut = fleet.now;
     for name in fleet.names() {
         if &*name != "host-0000" {
             fleet.cut.insert((name, host(0)));
@@ -88,17 +89,16 @@
     }
     fleet.run_ms(DETECTION_MS);
     assert!(fleet.all_see("host-0000", Standing::Dead));
-    let others: Vec<Name> = fleet.names().into_iter().skip(1).collect();
-    let bad = |fleet: &Fleet| {
-        others.iter().any(|at| {
-            others
-                .iter()
-                .any(|of| at != of && fleet.standing(at, of) != Some(Standing::Alive))
-        })
-    };
-    assert!(!bad(&fleet));
     fleet.run_ms(30_000);
-    assert!(!bad(&fleet), "its rumours are not believed");
+    // It finds no host alive, and spreads no rumour on any.
+    let rumoured: Vec<_> = fleet
+        .nodes
+        .iter()
+        .filter(|(name, _)| &***name != "host-0000")
+        .flat_map(|(_, node)| &node.standings)
+        .filter(|(at, name, _)| *at >= cut && &**name != "host-0000")
+        .collect();
+    assert!(rumoured.is_empty(), "{rumoured:?}");
     fleet.cut.clear();
     fleet.run_ms(15_000);
     assert!(fleet.whole(), "it comes back in the same life");
@@ -254,3 +254,101 @@
     fleet.run_ms(10_000);
     assert!(fleet.whole());
 }
+
+#[test]
+fn forgotten_hosts_and_their_values_do_not_come_back() {
+    let settings = mulberryrack_member::Settings {
+        forget: Duration::from_secs(60),
+        ..Default::default()
+    };
+    let mut fleet = Fleet::with(5, 14, settings);
+    fleet.run_ms(5_000);
+    let key = "suspect/host-0004";
+    fleet.tell(
+        "host-0004",
+        Input::Publish(mulberryrack_core::view::Value {
+            key: key.into(),
+            version: 1,
+            bytes: vec![1].into(),
+        }),
+    );
+    fleet.run_ms(3_000);
+    fleet.kill("host-0004");
+    fleet.unlist("host-0004");
+    fleet.run_ms(120_000);
+    for name in fleet.names() {
+        assert_eq!(fleet.standing(&name, "host-0004"), None);
+    }
+    fleet.start("host-0100", CENTRES[0]);
+    fleet.run_ms(10_000);
+    assert_eq!(fleet.standing("host-0100", "host-0004"), None);
+    assert!(!fleet.node("host-0100").values.contains_key(key));
+    // A new life under the name is taken in.
+    fleet.start("host-0004", CENTRES[1]);
+    fleet.run_ms(5_000);
+    assert!(fleet.whole());
+}
+
+#[test]
+fn lone_host_of_a_data_centre_is_cut_off_without_the_others() {
+    let mut fleet = Fleet::new(7, 15);
+    fleet.settle(rows(8, 1));
+    fleet.start("host-0100", "tanger-hall");
+    fleet.run_ms(5_000);
+    let all = fleet.names();
+    fleet.part(&["host-0100".into()], &all);
+    fleet.cut_service.insert("host-0100".into());
+    fleet.run_ms(40_000);
+    assert!(!fleet.node("host-0100").member.ready(fleet.now));
+    assert!(fleet.address("host-0100", "row-0001").is_err());
+}
+
+#[test]
+fn same_inputs_give_the_same_outputs() {
+    let run = || {
+        let mut fleet = Fleet::new(6, 16);
+        fleet.loss = 0.1;
+        fleet.run_ms(5_000);
+        fleet.accept(&host(0), 1, 0, "first", rows(40, 1));
+        fleet.run_ms(20_000);
+        fleet
+            .nodes
+            .values()
+            .map(|node| {
+                (
+                    node.frames,
+                    node.bytes,
+                    node.adopted.clone(),
+                    node.standings.clone(),
+                )
+            })
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn short_silences_of_one_host_kill_nobody_in_a_larger_fleet() {
+    let mut fleet = Fleet::new(60, 17);
+    fleet.run_ms(10_000);
+    let all = fleet.names();
+    fleet.loss = 0.1;
+    for index in 0..30 {
+        fleet.part(&[host(index)], &all);
+        fleet.run_ms(1_800);
+        fleet.cut.clear();
+        fleet.run_ms(4_000);
+    }
+    let standings: Vec<_> = fleet
+        .nodes
+        .values()
+        .flat_map(|node| &node.standings)
+        .collect();
+    let suspected = standings.iter().filter(|(.., it)| *it == Standing::Suspect);
+    let dead: Vec<_> = standings
+        .iter()
+        .filter(|(.., standing)| *standing == Standing::Dead)
+        .collect();
+    assert!(suspected.count() > 1_000);
+    assert!(dead.is_empty(), "{} deaths: {dead:?}", dead.len());
+}
--- a/crates/member/tests/table.rs
+++ b/crates/member/tests/table.rs
@@ -213,3 +213,74 @@
     assert_eq!(found[0].rows[3].share, 170);
     assert_eq!(reads[&902], Some(Vec::new()), "version 3 was dropped");
 }
+
+#[test]
+fn progress_names_the_host_that_is_behind() {
+    let mut fleet = Fleet::new(9, 13);
+    fleet.settle(rows(40, 1));
+    let all = fleet.names();
+    fleet.part(&[host(8)], &all);
+    fleet.cut_service.insert(host(8));
+    fleet.accept(&host(0), 2, 1, "second", edited(40, 3, 5));
+    fleet.run_ms(2_000);
+    let progress = fleet.node(&host(0)).member.progress();
+    let behind: Vec<_> = progress
+        .hosts
+        .iter()
+        .filter(|(_, version)| *version < 2)
+        .collect();
+    assert_eq!(progress.hosts.len(), 9);
+    assert_eq!(behind, [&(host(8), 1)]);
+    fleet.cut.clear();
+    fleet.run_ms(4_000);
+    let progress = fleet.node(&host(0)).member.progress();
+    assert!(progress.hosts.iter().all(|(_, version)| *version == 2));
+}
+
+#[test]
+fn large_release_reaches_every_host_in_bounded_frames() {
+    for loss in [0.0, 0.2] {
+        let mut fleet = Fleet::new(9, 14);
+        fleet.settle(rows(3_000, 1));
+        fleet.loss = loss;
+        fleet.accept(&host(0), 2, 1, "release", rows(3_000, 2));
+        fleet.run_ms(4_000);
+        assert!(fleet.all_at(2), "{loss}: {:?}", fleet.versions());
+        assert!(fleet.largest_frame < 64 * 1_024);
+    }
+}
+
+#[test]
+fn rows_out_of_order_are_not_written() {
+    let mut fleet = Fleet::new(2, 15);
+    fleet.settle(rows(8, 1));
+    let mut wrong = rows(8, 2);
+    wrong.swap(0, 1);
+    fleet.accept(&host(0), 2, 1, "wrong", wrong);
+    fleet.run_ms(100);
+    assert_eq!(fleet.verdict(&host(0), 2), Some(&Verdict::NotWritten));
+}
+
+#[test]
+fn hundred_thousand_changes_a_day_arrive_within_four_seconds_each() {
+    // A change every 864 ms, through changing hosts.
+    let mut fleet = Fleet::new(9, 16);
+    fleet.settle(rows(40, 1));
+    fleet.loss = 0.05;
+    for version in 2..60 {
+        let share = u32::try_from(version).unwrap();
+        let at = host(usize::try_from(version).unwrap() % 9);
+        fleet.accept(
+            &at,
+            version,
+            version - 1,
+            &format!("c{version}"),
+            edited(40, 3, share),
+        );
+        fleet.run_ms(864);
+        assert!(fleet.versions().iter().all(|it| it + 4 > version));
+    }
+    fleet.run_ms(3_000);
+    assert!(fleet.all_at(59), "{:?}", fleet.versions());
+    fleet.assert_monotonic();
+}
--- /dev/null
+++ b/crates/table/tests/delta.rs
@@ -0,0 +1,53 @@
+//! A delta turns one version of the rows into the next one.
+
+use mulberryrack_core::request::Priority;
+use mulberryrack_table::{Kind, Row, delta::Delta};
+use std::{collections::BTreeMap, time::Duration};
+
+fn row(name: u8, share: u8) -> Row {
+    Row {
+        name: format!("row-{name:03}").into(),
+        kind: Kind::Model,
+        base: None,
+        version: "1".into(),
+        memory_mb: 100,
+        share: share.into(),
+        priority: Priority::Normal,
+        ceiling: 8,
+        first_token: Duration::from_millis(530),
+        token_gap: Duration::from_millis(39),
+        repeatable: true,
+        min_copies: 1,
+        max_copies: 2,
+    }
+}
+
+fn rows(pairs: &[(u8, u8)]) -> Vec<Row> {
+    let unique: BTreeMap<u8, u8> = pairs.iter().copied().collect();
+    unique
+        .into_iter()
+        .map(|(name, share)| row(name, share))
+        .collect()
+}
+
+#[test]
+fn apply_after_between_gives_the_new_rows() {
+    bolero::check!()
+        .with_iterations(2_000)
+        .with_type::<(Vec<(u8, u8)>, Vec<(u8, u8)>)>()
+        .for_each(|(old, new)| {
+            let (old, new) = (rows(old), rows(new));
+            let delta = Delta::between(&old, &new);
+            assert_eq!(*delta.apply(&old), *new);
+            assert_eq!(delta.is_empty(), old == new);
+        });
+}
+
+#[test]
+fn one_edited_row_is_the_whole_delta() {
+    let old = rows(&[(1, 1), (2, 1), (3, 1)]);
+    let new = rows(&[(1, 1), (2, 7), (3, 1)]);
+    let delta = Delta::between(&old, &new);
+    assert_eq!(delta.upserts, [row(2, 7)]);
+    assert!(delta.removes.is_empty());
+}
