Planner: random fault schedules against the engines' own accounts

After every event: no engine over its capacity, nothing published as routable that is not ready, no row loses its last copy except with its engine.

Found on the way and mended: - a copy counted as ready before the new planner had published it; - after a pause the planner judged unloads by reports from before it; - an unload that was no longer wanted was left to its resend time. - unanswered orders of former planners held memory for two hours; that time now holds only where the sender's life is not known to be gone.

--- a/crates/place/src/cell.rs
+++ b/crates/place/src/cell.rs
@@ -35,6 +35,15 @@
 /// Time after which a plan is made though nothing seems to have changed.
 const PLAN_AGAIN: Duration = Duration::from_secs(5);
 
+/// A routable copy.
+#[derive(Clone, Debug)]
+struct Place {
+    engine: Name,
+    version: Name,
+    /// Whether the engine has answered within the last polls.
+    fresh: bool,
+}
+
 /// What a call to the key-value service was made for.
 #[derive(Clone, Debug)]
 pub(crate) enum What {
@@ -62,6 +71,9 @@
 pub(crate) struct Shared {
     pub settings: Settings,
     pub me: Name,
+    pub incarnation: Incarnation,
+    /// Lives of hosts that cannot act again, with the time when that was learnt.
+    pub gone: Arc<BTreeMap<(Name, Incarnation), Time>>,
     pub table: Option<Arc<Table>>,
     /// The table's rows, by the index of `index`.
     pub rows: Vec<Row>,
@@ -97,10 +109,14 @@
     /// Whether this host should hold the cell.
     pub wanted: bool,
     unwanted_since: Option<Time>,
-    taken: Time,
+    /// When the lease was won, or when this process went on after a pause; plans wait
+    /// for reports from after it.
+    resumed: Time,
     next_plan: Time,
     pub dirty: bool,
     planned: Time,
+    /// Whether what is published may have changed.
+    unpublished: bool,
     driven: Time,
     answering: usize,
     /// Loads that may begin now.
@@ -152,10 +168,11 @@
             engines: BTreeMap::new(),
             wanted: false,
             unwanted_since: None,
-            taken: now,
+            resumed: now,
             next_plan: now,
             dirty: false,
             planned: now,
+            unpublished: true,
             driven: now,
             answering: 0,
             allowance: 0.0,
@@ -192,13 +209,19 @@
         let Some(term) = self.term else {
             return;
         };
+        for engine in self.engines.values_mut() {
+            engine.gone = shared.gone.clone();
+        }
         self.drop_gone(now, shared, fx);
         self.poll(now, shared, fx);
         if now >= self.next_plan {
             self.next_plan = now + shared.settings.plan;
+            self.unpublished = true;
             self.plan(now, term, shared, fx);
         }
-        self.publish(now, term, shared, fx);
+        if std::mem::take(&mut self.unpublished) {
+            self.publish(now, term, shared, fx);
+        }
         self.store(now, term, shared, fx);
         self.send(now, term, shared, fx);
     }
@@ -283,6 +306,7 @@
             }
         };
         self.dirty = true;
+        self.unpublished = true;
         if !current {
             self.tenure.idle(now);
         }
@@ -295,7 +319,7 @@
         }
         self.term = self.tenure.term();
         self.engines.clear();
-        self.taken = now;
+        self.resumed = now;
         self.next_plan = now;
         self.allowance = 0.0;
         self.allowance_at = now;
@@ -327,7 +351,9 @@
         if *contact == Contact::Fenced {
             self.tenure.verify(now);
         }
-        self.dirty |= engine.contact(now, order, contact, &shared.settings);
+        let changed = engine.contact(now, order, contact, &shared.settings);
+        self.dirty |= changed;
+        self.unpublished |= changed;
     }
 
     /// After a pause of this process silence says nothing about the engines.
@@ -336,6 +362,7 @@
             for engine in self.engines.values_mut() {
                 engine.heard = engine.heard.map(|_| now);
             }
+            self.resumed = now;
         }
         self.driven = now;
     }
@@ -389,7 +416,7 @@
         };
         for engine in self.engines.values_mut() {
             let routes = isolated || engine.answers(now, lost);
-            let Some(bytes) = engine.publish(term, routes, base) else {
+            let Some(bytes) = engine.publish(now, term, routes, base) else {
                 continue;
             };
             self.versions += 1;
@@ -432,8 +459,8 @@
     }
 
     /// Routable copies by row; empty when no unload is pending.
-    fn routable(&self, now: Time, shared: &Shared) -> BTreeMap<Name, Vec<(Name, Name)>> {
-        let mut routable: BTreeMap<Name, Vec<(Name, Name)>> = BTreeMap::new();
+    fn routable(&self, now: Time, shared: &Shared) -> BTreeMap<Name, Vec<Place>> {
+        let mut routable: BTreeMap<Name, Vec<Place>> = BTreeMap::new();
         let unloads = |engine: &Engine| engine.confirmed().any(|i| i.unload().is_some());
         if !self.engines.values().any(unloads) {
             return routable;
@@ -444,8 +471,13 @@
             }
             for resident in engine.report.iter().flat_map(|report| &report.residents) {
                 let (row, version) = (&resident.row, &resident.version);
-                if engine.routable(row, version, shared.base(row).as_deref()) {
-                    let place = (engine.listing.name.clone(), version.clone());
+                let known = engine.known_routable(now, row, version, shared.settings.unroute);
+                if known && engine.routable(row, version, shared.base(row).as_deref()) {
+                    let place = Place {
+                        engine: engine.listing.name.clone(),
+                        version: version.clone(),
+                        fresh: engine.fresh(now, shared.settings.poll),
+                    };
                     routable.entry(row.clone()).or_default().push(place);
                 }
             }
@@ -455,9 +487,9 @@
 
     fn plan(&mut self, now: Time, term: u64, shared: &Shared, fx: &mut Effects<'_>) {
         self.allow(now, shared);
-        let settled = |e: &Engine| e.holds(term) && e.report.is_some();
+        let settled = |e: &Engine| e.holds(term) && e.reported.is_some_and(|at| at >= self.resumed);
         let waiting =
-            now.since(self.taken) <= shared.settings.lost && !self.engines.values().all(settled);
+            now.since(self.resumed) <= shared.settings.lost && !self.engines.values().all(settled);
         self.notice_silence(now, shared);
         if !self.dirty || waiting || shared.table.is_none() || self.engines.is_empty() {
             return;
@@ -514,11 +546,14 @@
             self.allowance -= 1.0;
         }
         self.orders += 1;
-        engine.add(
-            (term << ORDER_BITS) + self.orders,
+        engine.add(Intent {
+            id: (term << ORDER_BITS) + self.orders,
             term,
-            action(step, shared),
-        );
+            host: shared.me.clone(),
+            host_life: shared.incarnation,
+            action: action(step, shared),
+            spent: None,
+        });
         let note = Note::new(Level::Info, "move")
             .with("engine", &step.engine)
             .with("row", &step.row)
@@ -541,7 +576,7 @@
         let mut index = shared.index.clone();
         for engine in self.engines.values() {
             let answers = engine.answers(now, shared.settings.lost);
-            let copies = self.copies(engine, shared, &mut rows, &mut index);
+            let copies = self.copies(engine, now, shared, &mut rows, &mut index);
             let refused = (0..shared.rows.len())
                 .filter(|&row| engine.refuses(now, &shared.rows[row].name))
                 .collect();
@@ -570,6 +605,7 @@
     fn copies(
         &self,
         engine: &Engine,
+        now: Time,
         shared: &Shared,
         rows: &mut Vec<Row>,
         index: &mut BTreeMap<Name, usize>,
@@ -595,7 +631,7 @@
         };
         for resident in engine.report.iter().flat_map(|report| &report.residents) {
             let (row, version) = (&resident.row, &resident.version);
-            let state = self.state(engine, row, version, resident.state, shared);
+            let state = self.state(engine, row, version, resident.state, now, shared);
             add(row, version, resident.memory_mb, state);
         }
         for intent in engine.pending() {
@@ -611,16 +647,18 @@
     fn state(
         &self,
         engine: &Engine,
-        row: &str,
-        version: &str,
+        row: &Name,
+        version: &Name,
         residency: Residency,
+        now: Time,
         shared: &Shared,
     ) -> State {
         if residency == Residency::Unloading || engine.unloads(row, version) {
             return State::Going;
         }
         let base = shared.base(row);
-        let routable = engine.routable(row, version, base.as_deref());
+        let routable = engine.known_routable(now, row, version, shared.settings.unroute)
+            && engine.routable(row, version, base.as_deref());
         if routable && !shared.only_here(self.id, row) {
             State::Ready
         } else {
@@ -694,26 +732,34 @@
     intent: &Intent,
     term: u64,
     shared: &Shared,
-    routable: &BTreeMap<Name, Vec<(Name, Name)>>,
+    routable: &BTreeMap<Name, Vec<Place>>,
 ) -> Verdict {
-    let wanted = match &intent.action {
+    // What a former planner recorded may be sent by that planner at any time. Its ids are
+    // used up, and what is still missing is ordered anew.
+    if intent.term != term {
+        return Verdict::Cancel;
+    }
+    match &intent.action {
         Action::Load { row, version, .. } => {
             let listed = shared.index.get(row).map(|&index| &shared.rows[index]);
-            !engine.leaving() && listed.is_some_and(|row| row.version == *version)
+            let current = listed.is_some_and(|row| row.version == *version);
+            if current && !engine.leaving() {
+                Verdict::Send
+            } else {
+                Verdict::Cancel
+            }
         }
-        // A former planner knew other copies than there may be now.
+        Action::Unload { row, .. } if !shared.index.contains_key(row) => Verdict::Send,
         Action::Unload { row, version } => {
             let here = (&engine.listing.name, version);
-            let other = routable
-                .get(row)
-                .is_some_and(|places| places.iter().any(|(e, v)| (e, v) != here));
-            intent.term == term && (other || !shared.index.contains_key(row))
-        }
-        _ => false,
-    };
-    if wanted {
-        Verdict::Send
-    } else {
-        Verdict::Cancel
+            let places = routable.get(row).map_or(&[][..], Vec::as_slice);
+            let mut others = places.iter().filter(|p| (&p.engine, &p.version) != here);
+            match others.clone().next() {
+                None => Verdict::Cancel,
+                Some(_) if others.any(|place| place.fresh) => Verdict::Send,
+                Some(_) => Verdict::Wait,
+            }
+        }
+        _ => Verdict::Cancel,
     }
 }
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -6,7 +6,7 @@
 };
 use bytes::Bytes;
 use mulberryrack_core::{
-    Name, Time,
+    Incarnation, Name, Time,
     kv::{Entry, Op, Revision},
     node::Listing,
     upstream::{Action, CONTACT_TIMEOUT, Contact, Order, Report, Residency},
@@ -15,6 +15,7 @@
 use prost::Message;
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -60,8 +61,10 @@
     /// Whether the platform's list still has it.
     pub listed: bool,
     pub report: Option<Report>,
-    /// When it answered last.
+    /// When it answered last, or when the planner went on after a pause.
     pub heard: Option<Time>,
+    /// When it sent its last report.
+    pub reported: Option<Time>,
     pub next_poll: Time,
     polled: Option<Time>,
     refused_polls: u32,
@@ -71,14 +74,19 @@
     draft: Record,
     /// When a former planner's orders were taken over.
     adopted: Time,
-    lifetime: Duration,
+    order_lifetime: Duration,
+    planner_lifetime: Duration,
+    /// Lives of hosts that cannot act again, with the time when that was learnt.
+    pub gone: Arc<BTreeMap<(Name, Incarnation), Time>>,
     /// When a failed call is tried again.
     retry_after: Time,
     /// When struck-out orders are written even if nothing else is.
     tidy_at: Time,
     sends: BTreeMap<u64, Sending>,
     refused: BTreeMap<Name, Time>,
-    pub published: Option<Bytes>,
+    published: Option<Bytes>,
+    /// Since when each copy has been published as routable by this term.
+    routes: BTreeMap<Id, Time>,
 }
 
 /// What is done with an order that is due.
@@ -88,6 +96,8 @@
     Send,
     /// Its id is used up by an order that does nothing.
     Cancel,
+    /// Nothing is sent yet.
+    Wait,
 }
 
 impl Engine {
@@ -97,6 +107,7 @@
             listed: true,
             report: None,
             heard: None,
+            reported: None,
             next_poll: now,
             polled: None,
             refused_polls: 0,
@@ -104,12 +115,15 @@
             stored: None,
             draft: Record::default(),
             adopted: now,
-            lifetime: settings.order_lifetime,
+            order_lifetime: settings.order_lifetime,
+            planner_lifetime: settings.planner_lifetime,
+            gone: Arc::default(),
             retry_after: now,
             tidy_at: now,
             sends: BTreeMap::new(),
             refused: BTreeMap::new(),
             published: None,
+            routes: BTreeMap::new(),
         }
     }
 
@@ -125,6 +139,11 @@
         recent && self.refused_polls < MAX_REFUSED_POLLS
     }
 
+    /// Whether its last report is younger than two polls.
+    pub fn fresh(&self, now: Time, poll: Duration) -> bool {
+        self.reported.is_some_and(|at| now.since(at) <= 2 * poll)
+    }
+
     /// Megabytes that there are.
     pub fn capacity_mb(&self) -> u64 {
         let reported = self.report.as_ref().map_or(0, |report| report.memory_mb);
@@ -246,6 +265,7 @@
         match contact {
             Contact::Report(report) => {
                 self.heard = Some(now);
+                self.reported = Some(now);
                 self.refused_polls = 0;
                 self.observe(now, report)
             }
@@ -315,10 +335,18 @@
     /// Strikes out orders of which no copy can be on its way.
     fn strike(&mut self, now: Time) {
         let life = self.draft.life;
-        let adopted = self.adopted;
+        let term = self.draft.term;
+        let kept = |intent: &Intent| -> Time {
+            let sender = (intent.host.clone(), intent.host_life);
+            self.gone
+                .get(&sender)
+                .map_or(self.adopted + self.planner_lifetime, |at| {
+                    self.adopted.max(*at) + self.order_lifetime
+                })
+        };
         let sends = &mut self.sends;
         for sending in sends.values_mut() {
-            sending.expire(now, self.lifetime);
+            sending.expire(now, self.order_lifetime);
         }
         let count = self.draft.intents.len();
         self.draft.intents.retain(|intent| {
@@ -326,7 +354,7 @@
             let on_its_way = sending.is_some_and(|sending| {
                 sending.outstanding.is_some() || sending.uncertain.is_some_and(|until| now < until)
             });
-            let foreign = intent.term != self.draft.term && now < adopted;
+            let foreign = intent.term != term && now < kept(intent);
             intent.open(life) || on_its_way || foreign
         });
         let left: BTreeSet<u64> = self.draft.intents.iter().map(|i| i.id).collect();
@@ -337,13 +365,8 @@
     }
 
     /// Adds an order to the draft; it is sent when the draft is stored.
-    pub fn add(&mut self, id: u64, term: u64, action: Action) {
-        self.draft.intents.push(Intent {
-            id,
-            term,
-            action,
-            spent: None,
-        });
+    pub fn add(&mut self, intent: Intent) {
+        self.draft.intents.push(intent);
     }
 
     /// The read or write of the record that is due.
@@ -443,7 +466,7 @@
             return false;
         }
         if self.stored.is_none() || record.term != term {
-            self.adopted = now + s.order_lifetime;
+            self.adopted = now;
         }
         let known: BTreeSet<u64> = self.sends.keys().copied().collect();
         for intent in &record.intents {
@@ -483,12 +506,21 @@
         self.strike(now);
         let mut orders = Vec::new();
         for intent in open {
-            let sending = self.sends.get(&intent.id);
-            if sending.is_some_and(|sending| !sending.is_due(now)) {
+            let sending = self.sends.get(&intent.id).cloned().unwrap_or_default();
+            // An unload that is no longer wanted is overtaken, not waited for.
+            let wanted = sending.sent && !sending.cancelled && intent.unload().is_some();
+            if !sending.is_due(now) && !wanted {
+                continue;
+            }
+            let verdict = judge(self, &intent);
+            let cancel = verdict == Verdict::Cancel;
+            if verdict == Verdict::Wait || !(cancel || sending.is_due(now)) {
                 continue;
             }
-            let cancel = judge(self, &intent) == Verdict::Cancel;
             let sending = self.sends.entry(intent.id).or_default();
+            if sending.outstanding.is_some() {
+                sending.uncertain = Some(now + settings.order_lifetime);
+            }
             sending.cancelled |= cancel;
             sending.sent |= !sending.cancelled;
             sending.outstanding = Some(now);
@@ -518,30 +550,45 @@
         residents.any(|r| (&r.row, &r.version, r.state) == (&id.0, &id.1, state))
     }
 
+    /// Whether every host can know by now that new requests may go to the copy.
+    pub fn known_routable(&self, now: Time, row: &Name, version: &Name, spread: Duration) -> bool {
+        let since = self.routes.get(&(row.clone(), version.clone()));
+        since.is_some_and(|since| now.since(*since) >= spread)
+    }
+
     /// The spread value, if it differs from what was published last.
     pub fn publish(
         &mut self,
+        now: Time,
         term: u64,
         routes: bool,
         base: impl Fn(&str) -> Option<Name>,
     ) -> Option<Bytes> {
         let report = self.report.as_ref().filter(|_| self.holds(term))?;
-        let residents = report.residents.iter().map(|resident| {
-            let base = base(&resident.row);
-            place::Resident {
-                row: resident.row.to_string(),
-                version: resident.version.to_string(),
-                routable: routes
-                    && self.routable(&resident.row, &resident.version, base.as_deref()),
+        let mut residents = Vec::with_capacity(report.residents.len());
+        let mut since = BTreeMap::new();
+        for resident in &report.residents {
+            let (row, version) = (&resident.row, &resident.version);
+            let routable = routes && self.routable(row, version, base(row).as_deref());
+            if routable {
+                let id = (row.clone(), version.clone());
+                let at = self.routes.get(&id).copied().unwrap_or(now);
+                since.insert(id, at);
             }
-        });
+            residents.push(place::Resident {
+                row: row.to_string(),
+                version: version.to_string(),
+                routable,
+            });
+        }
         let value = place::Engine {
             address: self.listing.address.to_string(),
             incarnation: report.incarnation.0,
             data_centre: self.listing.data_centre.to_string(),
             leaving: self.leaving(),
-            residents: residents.collect(),
+            residents,
         };
+        self.routes = since;
         let bytes = Bytes::from(value.encode_to_vec());
         if self.published.as_ref() == Some(&bytes) {
             return None;
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -176,8 +176,7 @@
             return None;
         }
         let have = self.world.have(index);
-        let none_ready = self.world.ready(index, false) == 0;
-        let reason = if row.min > 0 && have == 0 && none_ready {
+        let reason = if row.min > 0 && !self.world.stands(index) {
             Reason::Restore
         } else if have < row.min && row.priority == Priority::Urgent {
             Reason::Urgent
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -14,7 +14,7 @@
     hash::rendezvous,
     kv::{Fault, Outcome},
     node::{Listing, Role},
-    view::{Value, View},
+    view::{Standing, Value, View},
 };
 use mulberryrack_table::Table;
 use mulberryrack_wire::place::{self, Frame, frame::Body};
@@ -30,7 +30,6 @@
 #[derive(Debug)]
 pub struct Planner {
     pub(crate) shared: Shared,
-    incarnation: Incarnation,
     data_centre: Name,
     view: Option<Arc<View>>,
     engines: Vec<Listing>,
@@ -58,6 +57,8 @@
             shared: Shared {
                 settings,
                 me,
+                incarnation,
+                gone: Arc::default(),
                 table: None,
                 rows: Vec::new(),
                 index: BTreeMap::new(),
@@ -68,7 +69,6 @@
                 demand: Book::default(),
                 spread: BTreeMap::new(),
             },
-            incarnation,
             data_centre,
             view: None,
             engines: Vec::new(),
@@ -86,6 +86,7 @@
         match input {
             Input::Table(table) => self.table(table),
             Input::View(view) => {
+                self.note_gone(now, &view);
                 self.view = Some(view);
                 self.elect();
             }
@@ -196,7 +197,7 @@
         let ttl = self.shared.settings.lease;
         for id in 0..self.shared.cells {
             let me = &self.shared.me;
-            let new = || Cell::new(id, me.clone(), self.incarnation, ttl, now);
+            let new = || Cell::new(id, me.clone(), self.shared.incarnation, ttl, now);
             self.cells.entry(id).or_insert_with(new);
         }
         for (id, cell) in &mut self.cells {
@@ -208,6 +209,21 @@
         self.elect();
     }
 
+    fn note_gone(&mut self, now: Time, view: &View) {
+        let gone = view
+            .peers
+            .iter()
+            .filter(|peer| peer.standing == Standing::Gone)
+            .map(|peer| (peer.name.clone(), peer.incarnation))
+            .filter(|life| !self.shared.gone.contains_key(life));
+        let gone: Vec<_> = gone.collect();
+        if !gone.is_empty() {
+            let known = Arc::make_mut(&mut self.shared.gone);
+            known.extend(gone.into_iter().map(|life| (life, now)));
+            known.retain(|_, at| now.since(*at) <= 2 * self.shared.settings.planner_lifetime);
+        }
+    }
+
     /// Gives each engine to the cell of its highest weight that has a place left.
     fn assign(&mut self) {
         let bound = self.shared.settings.cell_engines.max(1) as usize;
--- a/crates/place/src/record.rs
+++ b/crates/place/src/record.rs
@@ -16,8 +16,12 @@
 pub struct Intent {
     /// The order's id.
     pub id: u64,
-    /// Term of the planner that wrote it; also the order's first fencing number.
+    /// Term of the planner that wrote it; also the order's fencing number.
     pub term: u64,
+    /// The planner's host, the only one that sends the order in its own form.
+    pub host: Name,
+    /// That host's life.
+    pub host_life: Incarnation,
     /// What the engine is told to do.
     pub action: Action,
     /// The newest life of the engine in which it can no longer take effect, because that
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -58,11 +58,16 @@
     #[serde(rename = "resend_ms")]
     #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
     pub resend: Duration,
-    /// Time for which an order that an engine has not answered, or that a former
-    /// planner may still send, can reach a later life of the engine.
+    /// Time for which an order that an engine has not answered can be on its way to a
+    /// later life of the engine.
     #[serde(rename = "order_lifetime_ms")]
     #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
     pub order_lifetime: Duration,
+    /// Time for which a former planner that is not known to be gone can still send what
+    /// it has recorded.
+    #[serde(rename = "planner_lifetime_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub planner_lifetime: Duration,
     /// Time to live of a cell's lease.
     #[serde(rename = "lease_ms")]
     #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
@@ -93,7 +98,8 @@
             lost: Duration::from_secs(5),
             unroute: Duration::from_millis(1_500),
             resend: Duration::from_secs(3),
-            order_lifetime: Duration::from_secs(7_200),
+            order_lifetime: Duration::from_secs(600),
+            planner_lifetime: Duration::from_secs(7_200),
             lease: Duration::from_secs(10),
             call_timeout: Duration::from_secs(2),
             handover: Duration::from_secs(10),
--- a/crates/place/src/world.rs
+++ b/crates/place/src/world.rs
@@ -173,6 +173,12 @@
         u32::try_from(copies.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether a copy of any version is ready or coming on an engine that counts.
+    pub fn stands(&self, row: usize) -> bool {
+        self.copies(row)
+            .any(|(e, copy)| self.engines[e].counts && copy.state != State::Going)
+    }
+
     /// Copies of the version in force that are ready or coming on engines that count.
     pub fn have(&self, row: usize) -> u32 {
         let copies = self.copies(row).filter(|(e, copy)| {
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -6,7 +6,7 @@
     Incarnation, Name, Time, kv,
     node::{Listing, Role},
     request::Priority,
-    upstream::{Contact, Order, Residency},
+    upstream::{Action, Contact, Order, Residency},
     view::{Peer, Standing, Value, View},
 };
 use mulberryrack_place::{Input, Output, Planner, Settings};
@@ -22,6 +22,8 @@
     time::Duration,
 };
 
+/// Time in which a planner may count on copies that went with an engine: two polls.
+const UNSEEN: Duration = Duration::from_millis(1_020);
 /// Chances of faults, each 0 to 1.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -65,12 +67,18 @@
     pub listing: Vec<Listing>,
     pub table: Arc<Table>,
     pub values: BTreeMap<Name, Value>,
+    /// The values, decoded, by engine.
+    states: BTreeMap<Name, Engine>,
     pub orders: Vec<(Time, Name, Order)>,
     pub moves: u64,
     pub left: Vec<Name>,
     /// Rows that have had a routable copy and have not lost it with an engine.
     pub reached: BTreeSet<Name>,
     pub random: ChaCha8Rng,
+    /// When a ready copy of a row went with its engine.
+    lost: BTreeMap<Name, Time>,
+    /// When an unload of a row was sent last.
+    unloads: BTreeMap<Name, Time>,
     events: BTreeMap<(Time, u64), Event>,
     next: u64,
     lives: u64,
@@ -146,11 +154,14 @@
             listing: engines,
             table: table(1, rows),
             values: BTreeMap::new(),
+            states: BTreeMap::new(),
             orders: Vec::new(),
             moves: 0,
             left: Vec::new(),
             reached: BTreeSet::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
+            lost: BTreeMap::new(),
+            unloads: BTreeMap::new(),
             events: BTreeMap::new(),
             next: 0,
             lives: 0,
@@ -210,8 +221,11 @@
     /// Empties an engine and starts its next life.
     pub fn restart_engine(&mut self, name: &str) {
         let memory = self.engines.get_mut(name).expect("known engine");
+        let rows = self.table.rows.iter().map(|row| row.name.clone());
+        let lost: Vec<Name> = rows.filter(|row| memory.serves(row)).collect();
         memory.restart(Incarnation(memory.incarnation().0 + 1));
-        self.forgive();
+        let now = self.now;
+        self.lost.extend(lost.into_iter().map(|row| (row, now)));
     }
 
     pub fn accept(&mut self, rows: Vec<Row>) {
@@ -299,10 +313,9 @@
     pub fn routable(&self, row: &str) -> Vec<(Name, Name)> {
         let mut copies = Vec::new();
         for (name, memory) in &self.engines {
-            let Some(value) = self.values.get(&*format!("engine/{name}")) else {
+            let Some(state) = self.states.get(name) else {
                 continue;
             };
-            let state = Engine::decode(value.bytes.clone()).expect("own message");
             if state.incarnation != memory.incarnation().0 {
                 continue;
             }
@@ -344,22 +357,29 @@
             );
         }
         for row in self.table.clone().rows.iter() {
-            if !self.routable(&row.name).is_empty() {
-                self.reached.insert(row.name.clone());
-            } else if self.reached.contains(&row.name) {
-                panic!("{}: {} has lost its last routable copy", self.now, row.name);
+            let name = &row.name;
+            if !self.routable(name).is_empty() {
+                self.reached.insert(name.clone());
+            } else if self.reached.contains(name) {
+                assert!(
+                    self.lost_with_engine(name),
+                    "{}: {name} has lost its last copy",
+                    self.now
+                );
+                if !self.engines.values().any(|engine| engine.serves(name)) {
+                    self.reached.remove(name);
+                }
             }
         }
     }
 
-    /// Rows that lost their last copy with an engine may be unreachable.
-    pub fn forgive(&mut self) {
-        let rows: Vec<Name> = self.reached.iter().cloned().collect();
-        for row in rows {
-            if self.routable(&row).is_empty() {
-                self.reached.remove(&row);
-            }
-        }
+    /// Whether a copy of the row went with an engine, and no unload of another was sent
+    /// after the planner could know that.
+    fn lost_with_engine(&self, row: &Name) -> bool {
+        self.lost.get(row).is_some_and(|at| {
+            let unload = self.unloads.get(row);
+            unload.is_none_or(|sent| *sent <= *at + UNSEEN)
+        })
     }
 
     fn at(&mut self, span: Duration, event: Event) {
@@ -419,7 +439,7 @@
             Event::Resume(index) => {
                 self.hosts[index].paused = false;
                 for event in std::mem::take(&mut self.hosts[index].held) {
-                    self.at(Duration::ZERO, event);
+                    self.step(event);
                 }
                 self.view();
             }
@@ -500,6 +520,9 @@
                 let newest = self.values.get(&value.key).map_or(0, |old| old.version);
                 if value.version > newest {
                     self.values.insert(value.key.clone(), value.clone());
+                    let name = value.key.strip_prefix("engine/").expect("own key");
+                    let state = Engine::decode(value.bytes.clone()).expect("own message");
+                    self.states.insert(name.into(), state);
                     for other in 0..self.hosts.len() {
                         let delay = self.delay();
                         let life = self.hosts[other].life;
@@ -558,6 +581,11 @@
 
     fn send(&mut self, index: usize, life: Incarnation, engine: Name, order: Order) {
         self.orders.push((self.now, engine.clone(), order.clone()));
+        if let Action::Unload { row, version } = &order.action
+            && **version != *"cancelled-order"
+        {
+            self.unloads.insert(row.clone(), self.now);
+        }
         let delay = self.delay();
         if self.down.contains(&engine) {
             self.answer(delay, index, life, engine, Some(order.id), Contact::NotSent);
