--- a/crates/replay/src/naive.rs
+++ b/crates/replay/src/naive.rs
@@ -27,6 +27,8 @@
 const LIFETIME: Duration = Duration::from_secs(10);
 /// When a caller is told to come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a row that has not come is ordered again.
+const REORDER: Duration = Duration::from_secs(5);
 /// Ids of orders of one host.
 const ORDERS_PER_HOST: u64 = 1 << 32;
 
@@ -60,6 +62,8 @@
     attempts: BTreeMap<Attempt, request::Key>,
     open: BTreeMap<request::Key, Open>,
     waiting: VecDeque<request::Key>,
+    /// When a row was last ordered on demand.
+    ordered: BTreeMap<Name, Time>,
     next: u64,
     next_poll: Time,
 }
@@ -90,6 +94,7 @@
             attempts: BTreeMap::new(),
             open: BTreeMap::new(),
             waiting: VecDeque::new(),
+            ordered: BTreeMap::new(),
             next: index as u64 * ORDERS_PER_HOST,
             next_poll: Time::ZERO,
         }
@@ -116,7 +121,9 @@
             Event::Request(request) => self.arrive(now, request, &mut out),
             Event::Attempt { attempt, event } => self.attempt(now, attempt, event, &mut out),
             Event::Contact {
-                upstream, contact, ..
+                upstream,
+                order: None,
+                contact,
             } => self.report(now, &upstream, contact, &mut out),
             Event::Operator {
                 command: mulberryrack_host::operator::Command::Accept { csv, .. },
@@ -283,13 +290,16 @@
             return;
         };
         let wanted = |engine: &Engine| engine.residents.contains_key(target);
-        if self.engines.is_empty() || self.engines.iter().any(wanted) {
+        let ordered = self.ordered.get(target);
+        let recent = ordered.is_some_and(|at| now - *at < REORDER);
+        if recent || self.engines.iter().any(wanted) {
             return;
         }
-        let home = mulberryrack_core::hash::stable(target.as_bytes(), 0);
-        let count = self.engines.len() as u64;
-        let index = usize::try_from(home % count).unwrap_or(0);
-        let engine = &mut self.engines[index];
+        let Some(engine) = self.home(&row) else {
+            return;
+        };
+        self.ordered.insert(target.clone(), now);
+        let engine = &mut self.engines[engine];
         let total = engine.listing.as_ref().map_or(0, |one| one.memory_mb);
         if engine.used_mb + row.memory_mb > total {
             let oldest = engine
@@ -308,6 +318,18 @@
         load(engine, &row, self.next, out);
     }
 
+    /// The engine that a row belongs to: by its name, or where its base is.
+    fn home(&self, row: &Row) -> Option<usize> {
+        if let Some(base) = &row.base {
+            let mut engines = self.engines.iter();
+            return engines.position(|engine| engine.residents.contains_key(base));
+        }
+        let home = mulberryrack_core::hash::stable(row.name.as_bytes(), 0);
+        let count = self.engines.len() as u64;
+        let index = home.checked_rem(count)?;
+        usize::try_from(index).ok()
+    }
+
     fn attempt(
         &mut self,
         now: Time,
