--- a/crates/ledger/tests/outage.rs
+++ b/crates/ledger/tests/outage.rs
@@ -96,19 +96,26 @@
 
 #[test]
 fn another_host_keeps_records_when_the_successor_is_gone() {
-    let mut world = world(4);
-    let (owner, successor, others) = world.parts();
-    world.down = true;
-    world.crash(&successor, Standing::Gone);
-    world.spread();
-    assert_eq!(fresh(&mut world, &others[0], 5), Some(Verdict::Granted));
-    world.crash(&owner, Standing::Gone);
-    world.spread();
-    world.down = false;
-    world.run(HORIZON + Duration::from_secs(10));
-    let again = fresh(&mut world, &others[1], 5);
-    assert!(matches!(again, Some(Verdict::Join { .. })), "{again:?}");
-    assert_eq!(fresh(&mut world, &others[1], 6), Some(Verdict::Granted));
+    for hosts in 4..24 {
+        let mut world = world(hosts);
+        let (owner, successor, others) = world.parts();
+        world.down = true;
+        // The entry on its way from here on names the successor that goes.
+        assert_eq!(fresh(&mut world, &others[0], 4), Some(Verdict::Granted));
+        world.crash(&successor, Standing::Gone);
+        world.spread();
+        assert_eq!(fresh(&mut world, &others[0], 5), Some(Verdict::Granted));
+        world.crash(&owner, Standing::Gone);
+        world.spread();
+        world.down = false;
+        world.run(HORIZON + Duration::from_secs(10));
+        let again = fresh(&mut world, &others[1], 5);
+        assert!(
+            matches!(again, Some(Verdict::Join { .. })),
+            "{hosts} hosts: {again:?}"
+        );
+        assert_eq!(fresh(&mut world, &others[1], 6), Some(Verdict::Granted));
+    }
 }
 
 #[test]
