--- a/crates/ledger/src/commit.rs
+++ b/crates/ledger/src/commit.rs
@@ -212,8 +212,7 @@
         {
             return None;
         }
-        let me = context.me.clone();
-        let wanted = context.successor(self.shard, &me)?;
+        let wanted = context.heir(self.shard)?;
         (self.header.successor.as_ref() != Some(&wanted)).then_some(wanted)
     }
 
--- a/crates/ledger/src/context.rs
+++ b/crates/ledger/src/context.rs
@@ -48,6 +48,8 @@
     absent: BTreeMap<Name, Time>,
     /// First choice of each shard under the current view, as far as asked for.
     firsts: BTreeMap<u32, Option<Life>>,
+    /// Best successor of this host for each shard, likewise.
+    heirs: BTreeMap<u32, Option<Life>>,
     budget: Budget,
     rng: ChaCha8Rng,
     calls: u64,
@@ -86,6 +88,7 @@
             leaving: false,
             absent: BTreeMap::new(),
             firsts: BTreeMap::new(),
+            heirs: BTreeMap::new(),
             budget: Budget {
                 tokens: 0.0,
                 filled: now,
@@ -159,6 +162,7 @@
         self.absent.retain(|name, _| view.peer(name).is_none());
         self.view = view;
         self.firsts.clear();
+        self.heirs.clear();
     }
 
     /// Whether a life can still act, as far as the view tells.
@@ -205,10 +209,21 @@
         first
     }
 
+    /// The best successor of this host for a shard.
+    pub fn heir(&mut self, shard: u32) -> Option<Life> {
+        if let Some(heir) = self.heirs.get(&shard) {
+            return heir.clone();
+        }
+        let heir = self.successor(shard, &self.me);
+        self.heirs.insert(shard, heir.clone());
+        heir
+    }
+
     /// This host takes no new duties from here on.
     pub fn leave(&mut self) {
         self.leaving = true;
         self.firsts.clear();
+        self.heirs.clear();
     }
 
     /// The best successor for `owner` on a shard: in another data centre if there is one.
--- a/crates/ledger/src/takeover.rs
+++ b/crates/ledger/src/takeover.rs
@@ -264,7 +264,7 @@
     let until = if gap { context.wall_ms() + horizon } else { 0 };
     let me = context.me.clone();
     let successor = (context.settings.witness && !unfinished)
-        .then(|| context.successor(shard, &me))
+        .then(|| context.heir(shard))
         .flatten();
     Header {
         sequence: before.map_or(0, |header| header.sequence) + 1,
--- a/crates/ledger/src/witness.rs
+++ b/crates/ledger/src/witness.rs
@@ -140,8 +140,7 @@
         if next != named {
             return next;
         }
-        let me = context.me.clone();
-        context.successor(self.shard, &me)
+        context.heir(self.shard)
     }
 
     /// Forgets a batch whose records have all come into the log meanwhile.
@@ -162,11 +161,16 @@
             .is_some_and(|batch| batch.again <= context.now)
     }
 
-    /// When the first record that is not durable has waited too long.
+    /// When the first record that is not durable has waited long enough; at once where
+    /// the service is known to fail.
     fn late(&self, context: &Context) -> Option<Time> {
-        self.stream
-            .get(self.kept)
-            .map(|pending| pending.due + context.settings.witness_after)
+        let failing = self.flight.as_ref().is_some_and(|flight| flight.failed);
+        let pending = self.stream.get(self.kept)?;
+        Some(if failing {
+            pending.due
+        } else {
+            pending.due + context.settings.witness_after
+        })
     }
 
     fn copy(&mut self, context: &mut Context, successor: &Life) -> Option<Time> {
