--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -16,6 +16,7 @@
 mod owner;
 mod port;
 mod record;
+mod resend;
 mod settings;
 mod shard;
 mod takeover;
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -3,21 +3,18 @@
 use crate::{
     book::{Book, Intent, State},
     commit::Flight,
-    context::{Context, Vital},
+    context::Context,
     fold::Fold,
     life::Life,
     log::Header,
     record::{self, Claim, Kind, Record},
+    resend::Question,
     witness::Courier,
 };
-use mulberryrack_core::{
-    Time, earliest, kv,
-    note::{Counter, Level},
-    outcome::Doubt,
-};
+use mulberryrack_core::{Time, earliest, kv, note::Level, outcome::Doubt};
 use mulberryrack_wire::ledger::{self as wire, answer::Verdict, frame::Body};
 use std::{
-    collections::{BTreeMap, VecDeque, btree_map::Entry},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
@@ -48,14 +45,6 @@
     pub due: Time,
 }
 
-/// A question to the holder of an intent.
-#[derive(Clone, Copy, Debug)]
-struct Question {
-    claim: Claim,
-    again: Time,
-    pause: Duration,
-}
-
 /// The end of this host's ownership.
 #[derive(Clone, Debug)]
 pub struct Closing {
@@ -100,8 +89,10 @@
     pub progress: Time,
     /// Whether claims are refused since neither service nor successor answers.
     pub stuck: bool,
-    parked: BTreeMap<u128, Vec<Waiter>>,
-    questions: BTreeMap<u128, Question>,
+    /// Claims that wait for an earlier claim of their id to be settled.
+    pub parked: BTreeMap<u128, Vec<Waiter>>,
+    /// Questions to holders, by id.
+    pub questions: BTreeMap<u128, Question>,
 }
 
 impl Owner {
@@ -185,33 +176,6 @@
         }
     }
 
-    /// The holder says what became of its claim.
-    pub fn told(&mut self, context: &mut Context, claim: Claim, id: u128, fate: wire::Fate) {
-        let Some(intent) = self.book.get(id).copied() else {
-            return;
-        };
-        if intent.claim() != claim || !matches!(intent.state, State::Held | State::Ran) {
-            return;
-        }
-        match fate {
-            wire::Fate::Waiting => {
-                answer(context, claim, id, Verdict::Granted(wire::Granted {}));
-                return;
-            }
-            wire::Fate::NotSent => {
-                self.release(context, claim, id);
-                return;
-            }
-            wire::Fate::Kept => self.join(context, &intent, id),
-            wire::Fate::Lost => self.end(context, plain(Kind::Forgotten, id, claim)),
-            wire::Fate::Doubtful => self.end(context, plain(Kind::Unknown, id, claim)),
-        }
-        self.questions.remove(&id);
-        if fate != wire::Fate::Kept {
-            self.settle(context, id);
-        }
-    }
-
     /// Decides the claims that wait for an id.
     pub fn settle(&mut self, context: &mut Context, id: u128) {
         for waiter in self.parked.remove(&id).unwrap_or_default() {
@@ -255,20 +219,6 @@
         }
     }
 
-    /// Asks holders again, and gives up on those that are dead.
-    pub fn pump_questions(&mut self, context: &mut Context) -> Option<Time> {
-        let due: Vec<u128> = self
-            .questions
-            .iter()
-            .filter(|(_, question)| question.again <= context.now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
-            self.ask_again(context, id);
-        }
-        self.questions.values().map(|question| question.again).min()
-    }
-
     /// Refuses what waits when neither service nor successor has answered for long.
     pub fn pump_refusals(&mut self, context: &mut Context) -> Option<Time> {
         if self.exposed <= self.kept || self.stuck {
@@ -331,7 +281,7 @@
         }
     }
 
-    fn park(&mut self, context: &mut Context, waiter: Waiter) {
+    pub fn park(&mut self, context: &mut Context, waiter: Waiter) {
         let parked = self.parked.entry(waiter.id).or_default();
         if parked.iter().any(|other| other.claim == waiter.claim) {
             return;
@@ -345,7 +295,7 @@
 
     /// The id came with another body. That is said once a commit has shown that this
     /// host still owns the shard, so that no later owner can have run this body.
-    fn prove(&mut self, context: &mut Context, waiter: &Waiter) {
+    pub fn prove(&mut self, context: &mut Context, waiter: &Waiter) {
         let asked = self
             .stream
             .iter()
@@ -361,77 +311,6 @@
         self.push(context, of(Kind::Probe, waiter), delay);
     }
 
-    /// Asks the holder of an intent what became of it.
-    fn inquire(&mut self, context: &mut Context, intent: &Intent, waiter: Waiter) {
-        let holder = context.arena.get(intent.life).clone();
-        if matches!(context.vital(&holder), Vital::Dead | Vital::Gone) {
-            let lost = match intent.state {
-                State::Ran => Doubt::AnswerGone,
-                _ => Doubt::HostLost,
-            };
-            doubt(context, &waiter, lost);
-            return;
-        }
-        self.park(context, waiter);
-        if let Entry::Vacant(entry) = self.questions.entry(waiter.id) {
-            entry.insert(Question {
-                claim: intent.claim(),
-                again: context.now + context.settings.retransmit,
-                pause: context.settings.retransmit,
-            });
-            ask(context, &holder, waiter.id, intent.nonce);
-        }
-    }
-
-    fn ask_again(&mut self, context: &mut Context, id: u128) {
-        let now = context.now;
-        if let Some(parked) = self.parked.get_mut(&id) {
-            parked.retain(|waiter| waiter.until > now);
-        }
-        if self.parked.get(&id).is_none_or(Vec::is_empty) {
-            self.parked.remove(&id);
-            self.questions.remove(&id);
-            return;
-        }
-        let Some(question) = self.questions.get(&id).copied() else {
-            return;
-        };
-        let holder = context.arena.get(question.claim.life).clone();
-        if matches!(context.vital(&holder), Vital::Dead | Vital::Gone) {
-            self.questions.remove(&id);
-            self.settle(context, id);
-            return;
-        }
-        let pause = (question.pause * 2).min(context.settings.retransmit * 8);
-        let again = now + context.jitter(pause);
-        let claim = question.claim;
-        self.questions.insert(
-            id,
-            Question {
-                claim,
-                again,
-                pause,
-            },
-        );
-        ask(context, &holder, id, claim.nonce);
-    }
-
-    fn join(&mut self, context: &mut Context, intent: &Intent, id: u128) {
-        let holder = context.arena.get(intent.life).write();
-        for waiter in self.parked.remove(&id).unwrap_or_default() {
-            if waiter.body != intent.body {
-                self.prove(context, &waiter);
-                continue;
-            }
-            context.count(Counter::Joined);
-            let join = wire::Join {
-                holder: Some(holder.clone()),
-                request: intent.request,
-            };
-            answer(context, waiter.claim, id, Verdict::Join(join));
-        }
-    }
-
     /// Refuses all claims that wait, and forgets those that nobody else has seen.
     fn refuse_all(&mut self, context: &mut Context) {
         for (claim, id) in self.waiting_claims() {
@@ -484,7 +363,8 @@
     context.send(&to, Body::Answer(answer));
 }
 
-fn doubt(context: &mut Context, waiter: &Waiter, doubt: Doubt) {
+/// Answers a claim with a doubt.
+pub fn doubt(context: &mut Context, waiter: &Waiter, doubt: Doubt) {
     answer(context, waiter.claim, waiter.id, doubtful(doubt));
 }
 
@@ -494,16 +374,6 @@
     })
 }
 
-fn ask(context: &mut Context, holder: &Life, id: u128, nonce: u64) {
-    let (id_high, id_low) = record::halves(id);
-    let ask = wire::Ask {
-        id_high,
-        id_low,
-        nonce,
-    };
-    context.send(holder, Body::Ask(ask));
-}
-
 const fn of(kind: Kind, waiter: &Waiter) -> Record {
     Record {
         kind,
