Ledger: retries keep to the write budget; a new host waits for its view

Cause: entries that failed were written again every 250 ms whatever the budget, 128 calls a second with 32 shards, and the debt would have blocked writes after the outage. A host that has just started and sees no other host would have taken every shard of an empty log.

Change: retries wait for the budget; debt is at most two writes. A host that is alone in its view takes nothing for two seconds.

Shown by: writes_stay_in_the_budget_through_an_outage, red without the wait in commit.rs; owner_superseded_under_a_wrong_view_hands_in_what_was_kept, red when shard.rs drops the owner's leftover.

--- a/crates/ledger/src/commit.rs
+++ b/crates/ledger/src/commit.rs
@@ -81,6 +81,10 @@
             if flight.token.take().is_some() {
                 flight.failed = true;
             }
+            if let Some(later) = context.blocked() {
+                flight.again = later;
+                return Some(later);
+            }
             self.fly(context);
             return self.flight.as_ref().map(|flight| flight.again);
         }
--- a/crates/ledger/src/context.rs
+++ b/crates/ledger/src/context.rs
@@ -19,6 +19,9 @@
     time::Duration,
 };
 
+/// How long a host that has just started waits for others to come into its view.
+const ALONE: Duration = Duration::from_secs(2);
+
 /// Whether a life can still act.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Vital {
@@ -50,6 +53,7 @@
     firsts: BTreeMap<u32, Option<Life>>,
     /// Best successor of this host for each shard, likewise.
     heirs: BTreeMap<u32, Option<Life>>,
+    started: Time,
     budget: Budget,
     rng: ChaCha8Rng,
     calls: u64,
@@ -89,6 +93,7 @@
             absent: BTreeMap::new(),
             firsts: BTreeMap::new(),
             heirs: BTreeMap::new(),
+            started: now,
             budget: Budget {
                 tokens: 0.0,
                 filled: now,
@@ -258,10 +263,15 @@
         Some(self.now + Duration::from_secs_f64(missing) + Duration::from_micros(1))
     }
 
-    /// Takes one write out of the budget; writes that cannot wait overdraw it.
+    /// Takes one write out of the budget; a takeover overdraws it.
     pub fn spend(&mut self) {
         self.budget.fill(self.now);
-        self.budget.tokens -= 1.0;
+        self.budget.tokens = (self.budget.tokens - 1.0).max(-2.0);
+    }
+
+    /// Whether the view may hold no other host only because this one has just started.
+    pub fn alone_at_start(&self) -> bool {
+        self.view.peers.len() < 2 && self.now.since(self.started) < ALONE
     }
 }
 
--- a/crates/ledger/src/fold.rs
+++ b/crates/ledger/src/fold.rs
@@ -80,6 +80,9 @@
         if call.again > context.now {
             return Some(call.again);
         }
+        if let Some(later) = context.blocked() {
+            return Some(later);
+        }
         let op = match &call.task {
             Task::Write { key, value, .. } => kv::Op::Put {
                 key: key.clone(),
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -288,7 +288,7 @@
             return self.check;
         }
         self.check = context.now + CHECK;
-        if context.view.peers.is_empty() {
+        if context.view.peers.is_empty() || context.alone_at_start() {
             return self.check;
         }
         self.hand_in(context);
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -121,6 +121,10 @@
     pub faults: Faults,
     pub store: Store,
     pub down: bool,
+    /// Hosts that do not reach the service.
+    pub unreachable: BTreeSet<Name>,
+    /// Writes asked for, answered or not.
+    pub writes: u64,
     /// Writes to keys with this part are refused by the service.
     pub blocked: Option<&'static str>,
     pub hosts: BTreeMap<Name, Host>,
@@ -144,6 +148,8 @@
             faults,
             store: Store::default(),
             down: false,
+            unreachable: BTreeSet::new(),
+            writes: 0,
             blocked: None,
             hosts: BTreeMap::new(),
             standing: BTreeMap::new(),
@@ -480,13 +486,14 @@
     }
 
     fn dial(&mut self, from: &Name, life: Incarnation, token: Token, op: kv::Op) {
+        self.writes += u64::from(matches!(op, kv::Op::Put { .. } | kv::Op::Delete { .. }));
         if let kv::Op::Put { key, .. } = &op
             && self.blocked.is_some_and(|part| key.contains(part))
         {
             self.reply(from, life, token, Err(Fault::NotApplied));
             return;
         }
-        if self.down {
+        if self.down || self.unreachable.contains(from) {
             let fault = if self.chance(0.5) {
                 Fault::NotApplied
             } else {
--- a/crates/ledger/tests/outage.rs
+++ b/crates/ledger/tests/outage.rs
@@ -167,3 +167,48 @@
     world.done(&others[0], first, End::NotSent);
     assert_eq!(fresh(&mut world, &others[1], 5), Some(Verdict::Granted));
 }
+
+#[test]
+fn owner_superseded_under_a_wrong_view_hands_in_what_was_kept() {
+    let mut world = world(5);
+    let (owner, successor, others) = world.parts();
+    world.unreachable.extend([owner.clone(), successor.clone()]);
+    assert_eq!(fresh(&mut world, &others[0], 5), Some(Verdict::Granted));
+    // The others hold both for gone, which is wrong.
+    for name in [&owner, &successor] {
+        world.stand(name, Standing::Gone);
+    }
+    for name in &others {
+        world.spread_to(name);
+    }
+    world.run(Duration::from_secs(3));
+    let gap = Some(Verdict::Unknown(Doubt::RecordGap));
+    assert_eq!(fresh(&mut world, &others[1], 6), gap);
+    world.unreachable.clear();
+    world.run(HORIZON + Duration::from_secs(5));
+    let again = fresh(&mut world, &others[1], 5);
+    assert!(matches!(again, Some(Verdict::Join { .. })), "{again:?}");
+}
+
+#[test]
+fn writes_stay_in_the_budget_through_an_outage() {
+    let settings = Settings {
+        writes_per_second: 16,
+        ..Settings::default()
+    };
+    let mut world = World::new(3, 3, settings, Faults::default());
+    world.run(Duration::from_secs(20));
+    world.down = true;
+    let before = world.writes;
+    for id in 0..600u128 {
+        world.claim("host-0", (id << 64) | id, 1, PATIENCE);
+        world.run(Duration::from_millis(100));
+    }
+    let writes = world.writes - before;
+    // One second's worth may have been saved up, two writes a host at the least.
+    assert!(writes <= 16 * 60 + 16 + 6, "{writes}");
+    world.down = false;
+    let request = world.claim("host-0", 1 << 100, 1, PATIENCE);
+    world.run(PATIENCE);
+    assert_eq!(world.verdict(request), Some(&Verdict::Granted));
+}
