Ledger: no host in place of a successor that is gone

The successor had taken over from an owner that could not read the log, and was lost; the owner, in an outage, granted with another host's word, while the successor's own successor took over from it and granted the same id. While the service cannot be read, an owner cannot rule that out.

Change: while the log names a successor, only that one's word counts. Any host may keep records only while the log names none.

--- a/crates/ledger/src/witness.rs
+++ b/crates/ledger/src/witness.rs
@@ -116,31 +116,20 @@
         }
     }
 
-    /// Who may keep records now: the successor that the log names. If that one is gone,
-    /// any other host: nobody can then take over before this host is gone too, and not
-    /// without a quarantine.
+    /// Who may keep records now: the successor that the log names, and nobody in its place
+    /// when it is gone, since it may have taken over before. While the log names none,
+    /// nobody can take over before this host is gone, and any host may keep them.
     fn keeper(&self, context: &mut Context) -> Option<Life> {
         if !self.established || !self.header.witness {
             return None;
         }
         let next = self.next_successor()?;
-        let named = self.header.successor.clone();
-        let gone = match &named {
-            Some(named) => match context.vital(named) {
-                Vital::Able | Vital::Leaving => false,
-                Vital::Dead => return None,
-                Vital::Gone => true,
-            },
-            None => true,
+        let Some(named) = &self.header.successor else {
+            return next.or_else(|| context.heir(self.shard));
         };
-        if !gone {
-            // The successor that is being named would not have these records.
-            return named.filter(|named| next.as_ref() == Some(named));
-        }
-        if next != named {
-            return next;
-        }
-        context.heir(self.shard)
+        // A successor that is being named would not have what this one keeps.
+        let able = matches!(context.vital(named), Vital::Able | Vital::Leaving);
+        (able && next.as_ref() == Some(named)).then(|| named.clone())
     }
 
     /// Forgets a batch whose records have all come into the log meanwhile.
--- a/crates/ledger/tests/takeover.rs
+++ b/crates/ledger/tests/takeover.rs
@@ -163,3 +163,34 @@
         assert_eq!(world.verdict(request), Some(&Verdict::Granted));
     }
 }
+
+#[test]
+fn every_host_replaced_in_turn_refuses_no_claim() {
+    let mut world = World::new(5, 3, Settings::default(), Faults::default());
+    world.run(Duration::from_secs(8));
+    let mut id = 0u128;
+    let mut requests = Vec::new();
+    for name in world.names() {
+        world.leave(&name);
+        for _ in 0..25 {
+            for host in world.names().iter().filter(|host| **host != name) {
+                id += 1;
+                requests.push(world.claim(host, (id << 64) | id, 1, PATIENCE));
+            }
+            world.run(Duration::from_millis(20));
+        }
+        assert!(world.hosts[&name].left, "{name}");
+        world.crash(&name, Standing::Gone);
+        world.spread();
+        world.run(Duration::from_secs(1));
+        world.start(&name);
+        world.spread();
+        world.run(Duration::from_secs(10));
+    }
+    let mut held = world
+        .given
+        .iter()
+        .filter(|given| requests.contains(&given.request) && given.verdict != Verdict::Granted);
+    assert_eq!(held.next().map(|given| &given.verdict), None);
+    assert_eq!(world.count(Counter::IntentRecorded), requests.len() as u64);
+}
