--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -144,6 +144,22 @@
     }
 
     fn frame(&mut self, from: &Life, body: Body) {
+        match body {
+            Body::Answer(answer) => self.answer(answer),
+            Body::Ask(ask) => self.ask(from, &ask),
+            Body::Claim(_) | Body::Release(_) | Body::Told(_) | Body::Ends(_) => {
+                self.frame_of_claim(from, body);
+            }
+            Body::Look(_)
+            | Body::Witness(_)
+            | Body::Witnessed(_)
+            | Body::Merge(_)
+            | Body::Merged(_) => self.frame_of_shard(from, &body),
+        }
+    }
+
+    /// Frames of claimants and holders to the owner of an id.
+    fn frame_of_claim(&mut self, from: &Life, body: Body) {
         let context = &mut self.context;
         let key = context.arena.key(from);
         match body {
@@ -152,13 +168,11 @@
                 let shard = context.shard_of(id) as usize;
                 self.shards[shard].claim(context, key, &claim);
             }
-            Body::Answer(answer) => self.answer(answer),
             Body::Release(release) => {
                 let id = record::whole(release.id_high, release.id_low);
                 let shard = context.shard_of(id) as usize;
                 self.shards[shard].release(context, key, &release);
             }
-            Body::Ask(ask) => self.ask(from, &ask),
             Body::Told(told) => {
                 let id = record::whole(told.id_high, told.id_low);
                 let shard = context.shard_of(id) as usize;
@@ -171,31 +185,31 @@
                     self.shards[shard].end(context, record);
                 }
             }
-            Body::Look(look) => {
-                if let Some(shard) = self.shards.get_mut(look.shard as usize) {
-                    shard.look(context);
-                }
-            }
-            Body::Witness(witness) => {
-                if let Some(shard) = self.shards.get_mut(witness.shard as usize) {
-                    shard.witness(context, from, &witness);
-                }
-            }
-            Body::Merge(merge) => {
-                if let Some(shard) = self.shards.get_mut(merge.shard as usize) {
-                    shard.merge(context, from, &merge);
-                }
-            }
-            Body::Merged(merged) => {
-                if let Some(shard) = self.shards.get_mut(merged.shard as usize) {
-                    shard.merged(merged.epoch);
-                }
-            }
-            Body::Witnessed(answer) => {
-                if let Some(shard) = self.shards.get_mut(answer.shard as usize) {
-                    shard.witnessed(context, from, &answer);
-                }
-            }
+            _ => {}
+        }
+    }
+
+    /// Frames between hosts about a shard.
+    fn frame_of_shard(&mut self, from: &Life, body: &Body) {
+        let number = match body {
+            Body::Look(look) => look.shard,
+            Body::Witness(witness) => witness.shard,
+            Body::Witnessed(answer) => answer.shard,
+            Body::Merge(merge) => merge.shard,
+            Body::Merged(merged) => merged.shard,
+            _ => return,
+        };
+        let context = &mut self.context;
+        let Some(shard) = self.shards.get_mut(number as usize) else {
+            return;
+        };
+        match body {
+            Body::Look(_) => shard.look(context),
+            Body::Witness(witness) => shard.witness(context, from, witness),
+            Body::Witnessed(answer) => shard.witnessed(context, from, answer),
+            Body::Merge(merge) => shard.merge(context, from, merge),
+            Body::Merged(merged) => shard.merged(merged.epoch),
+            _ => {}
         }
     }
 
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -11,10 +11,7 @@
     takeover::{self, Choice, Log, Reading},
     witness::Copy,
 };
-use mulberryrack_core::{
-    Time, earliest, kv,
-    note::{Counter, Level},
-};
+use mulberryrack_core::{Time, earliest, kv, note::Level};
 use mulberryrack_wire::ledger::{self as wire, answer::Verdict, frame::Body};
 use std::time::Duration;
 
@@ -461,7 +458,6 @@
             self.check = context.now;
         }
         self.asked = true;
-        context.count(Counter::FrameDropped);
         crate::owner::answer(context, waiter.claim, waiter.id, elsewhere);
     }
 }
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -3,17 +3,19 @@
 
 #![allow(dead_code)]
 
+mod wires;
+
 use mulberryrack_core::{
     Incarnation, Name, Time,
     claim::{End, Verdict},
-    kv::{self, Fault, Outcome, Token},
+    kv::{self, Token},
     note::Counter,
     request,
     view::{Peer, Standing, View},
 };
-use mulberryrack_ledger::{Input, Ledger, Output, Settings};
+use mulberryrack_ledger::{Input, Ledger, Settings};
 use mulberryrack_standin::kv::Store;
-use mulberryrack_wire::ledger::{self as wire, Frame};
+use mulberryrack_wire::ledger as wire;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -82,7 +84,7 @@
     pending: Vec<Input>,
 }
 
-enum Event {
+pub enum Event {
     Input {
         to: Name,
         incarnation: Incarnation,
@@ -411,167 +413,6 @@
         }
     }
 
-    fn output(&mut self, from: &Name, life: Incarnation, output: Output) {
-        match output {
-            Output::Frame {
-                to,
-                incarnation,
-                frame,
-            } => self.post(from, life, &to, incarnation, &frame),
-            Output::Kv { token, op } => self.dial(from, life, token, op),
-            Output::Verdict { request, verdict } => self.give(from, life, request, verdict),
-            Output::Left => {
-                if let Some(host) = self.hosts.get_mut(from) {
-                    host.left = true;
-                }
-            }
-            Output::Note(_) => {}
-            Output::Count(counter) => *self.counts.entry(counter).or_default() += 1,
-        }
-    }
-
-    fn give(&mut self, from: &Name, life: Incarnation, request: request::Key, verdict: Verdict) {
-        if let Some(host) = self.hosts.get_mut(from) {
-            let known = if verdict == Verdict::Granted {
-                Known::Running
-            } else {
-                Known::Answered
-            };
-            host.requests.insert(request, known);
-        }
-        self.given.push(Given {
-            host: from.clone(),
-            incarnation: life,
-            request,
-            verdict,
-            at: self.now,
-        });
-    }
-
-    fn post(
-        &mut self,
-        from: &Name,
-        life: Incarnation,
-        to: &Name,
-        incarnation: Option<Incarnation>,
-        frame: &Frame,
-    ) {
-        let copies = if self.chance(self.faults.double) {
-            2
-        } else {
-            1
-        };
-        for _ in 0..copies {
-            if self.chance(self.faults.loss) || self.cut.contains(&(from.clone(), to.clone())) {
-                continue;
-            }
-            let bytes = frame.encode_to_vec();
-            let frame = Frame::decode(bytes.as_slice()).expect("what was encoded");
-            let at = self.now + self.some(self.faults.delay);
-            let input = Input::Frame {
-                from: from.clone(),
-                incarnation: life,
-                frame,
-            };
-            let target = incarnation.unwrap_or(Incarnation(0));
-            self.at(
-                at,
-                Event::Input {
-                    to: to.clone(),
-                    incarnation: target,
-                    input,
-                },
-            );
-        }
-    }
-
-    fn dial(&mut self, from: &Name, life: Incarnation, token: Token, op: kv::Op) {
-        self.writes += u64::from(matches!(op, kv::Op::Put { .. } | kv::Op::Delete { .. }));
-        if let kv::Op::Put { key, .. } = &op
-            && self.blocked.is_some_and(|part| key.contains(part))
-        {
-            self.reply(from, life, token, Err(Fault::NotApplied));
-            return;
-        }
-        if self.down || self.unreachable.contains(from) {
-            let fault = if self.chance(0.5) {
-                Fault::NotApplied
-            } else {
-                Fault::Unknown
-            };
-            self.reply(from, life, token, Err(fault));
-            return;
-        }
-        let lost = self.chance(self.faults.lost_answers);
-        let late = lost && self.chance(self.faults.late);
-        let span = if late {
-            Duration::from_secs(10)
-        } else {
-            self.faults.service
-        };
-        let at = self.now + self.some(span);
-        self.at(
-            at,
-            Event::Call {
-                from: from.clone(),
-                incarnation: life,
-                token,
-                op,
-                answer: !lost,
-            },
-        );
-        if lost && self.chance(0.5) {
-            self.reply(from, life, token, Err(Fault::Unknown));
-        }
-    }
-
-    fn reply(&mut self, to: &Name, life: Incarnation, token: Token, outcome: Outcome) {
-        let at = self.now + self.some(self.faults.service);
-        self.at(
-            at,
-            Event::Input {
-                to: to.clone(),
-                incarnation: life,
-                input: Input::Kv { token, outcome },
-            },
-        );
-    }
-
-    fn carry(&mut self, event: Event) {
-        match event {
-            Event::Input {
-                to,
-                incarnation,
-                input,
-            } => {
-                let current = self.hosts.get(&to).map(|host| host.incarnation);
-                if current.is_some_and(|life| incarnation.0 == 0 || life == incarnation) {
-                    self.input(&to, input);
-                }
-            }
-            Event::Call {
-                from,
-                incarnation,
-                token,
-                op,
-                answer,
-            } => {
-                if self.down {
-                    return;
-                }
-                let reply = self.store.call(self.now, &op);
-                if let Some(reply) = reply.filter(|_| answer) {
-                    self.reply(&from, incarnation, token, Ok(reply));
-                }
-            }
-        }
-    }
-
-    fn at(&mut self, time: Time, event: Event) {
-        self.number += 1;
-        self.events.insert((time, self.number), event);
-    }
-
     pub fn chance(&mut self, share: f64) -> bool {
         share > 0.0 && self.rng.random::<f64>() < share
     }
