--- a/crates/ledger/src/commit.rs
+++ b/crates/ledger/src/commit.rs
@@ -81,6 +81,10 @@
             if flight.token.take().is_some() {
                 flight.failed = true;
             }
+            if let Some(later) = context.blocked() {
+                flight.again = later;
+                return Some(later);
+            }
             self.fly(context);
             return self.flight.as_ref().map(|flight| flight.again);
         }
@@ -212,8 +216,7 @@
         {
             return None;
         }
-        let me = context.me.clone();
-        let wanted = context.successor(self.shard, &me)?;
+        let wanted = context.heir(self.shard)?;
         (self.header.successor.as_ref() != Some(&wanted)).then_some(wanted)
     }
 
--- a/crates/ledger/src/context.rs
+++ b/crates/ledger/src/context.rs
@@ -19,6 +19,9 @@
     time::Duration,
 };
 
+/// How long a host that has just started waits for others to come into its view.
+const ALONE: Duration = Duration::from_secs(2);
+
 /// Whether a life can still act.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Vital {
@@ -48,6 +51,9 @@
     absent: BTreeMap<Name, Time>,
     /// First choice of each shard under the current view, as far as asked for.
     firsts: BTreeMap<u32, Option<Life>>,
+    /// Best successor of this host for each shard, likewise.
+    heirs: BTreeMap<u32, Option<Life>>,
+    started: Time,
     budget: Budget,
     rng: ChaCha8Rng,
     calls: u64,
@@ -86,6 +92,8 @@
             leaving: false,
             absent: BTreeMap::new(),
             firsts: BTreeMap::new(),
+            heirs: BTreeMap::new(),
+            started: now,
             budget: Budget {
                 tokens: 0.0,
                 filled: now,
@@ -159,6 +167,7 @@
         self.absent.retain(|name, _| view.peer(name).is_none());
         self.view = view;
         self.firsts.clear();
+        self.heirs.clear();
     }
 
     /// Whether a life can still act, as far as the view tells.
@@ -205,10 +214,21 @@
         first
     }
 
+    /// The best successor of this host for a shard.
+    pub fn heir(&mut self, shard: u32) -> Option<Life> {
+        if let Some(heir) = self.heirs.get(&shard) {
+            return heir.clone();
+        }
+        let heir = self.successor(shard, &self.me);
+        self.heirs.insert(shard, heir.clone());
+        heir
+    }
+
     /// This host takes no new duties from here on.
     pub fn leave(&mut self) {
         self.leaving = true;
         self.firsts.clear();
+        self.heirs.clear();
     }
 
     /// The best successor for `owner` on a shard: in another data centre if there is one.
@@ -243,10 +263,15 @@
         Some(self.now + Duration::from_secs_f64(missing) + Duration::from_micros(1))
     }
 
-    /// Takes one write out of the budget; writes that cannot wait overdraw it.
+    /// Takes one write out of the budget; a takeover overdraws it.
     pub fn spend(&mut self) {
         self.budget.fill(self.now);
-        self.budget.tokens -= 1.0;
+        self.budget.tokens = (self.budget.tokens - 1.0).max(-2.0);
+    }
+
+    /// Whether the view may hold no other host only because this one has just started.
+    pub fn alone_at_start(&self) -> bool {
+        self.view.peers.len() < 2 && self.now.since(self.started) < ALONE
     }
 }
 
