Member: a service that is behind confirms nothing; buckets on the move are not compared

Cause: a watch that ended unchanged counted as evidence also when the service had never shown the version in force, or was behind what it had shown (two faults of the check). Change: evidence goes with the version and revision that the service has shown; seven of eight buckets that changed in the last 2 s are passed over. Shown by: stale_service_is_no_evidence_of_being_current (red before), stale_peer_does_not_bring_an_old_version_back (red without the guard on the version).

--- a/crates/member/src/address.rs
+++ b/crates/member/src/address.rs
@@ -64,7 +64,7 @@
         .map
         .values()
         .filter(|host| matches!(host.peer.standing, Standing::Alive | Standing::Suspect))
-        .filter(|host| host.reachable() && !host.leaving && host.weight > 0)
+        .filter(|host| host.weight > 0)
         .map(|host| Candidate {
             score: hash::rendezvous(target, &host.peer.name, f64::from(host.weight)),
             near: host.peer.data_centre == *mine,
--- a/crates/member/src/member/frame.rs
+++ b/crates/member/src/member/frame.rs
@@ -16,7 +16,7 @@
         };
         let Some(name) = value.key.strip_prefix(hosts::PREFIX) else {
             let kept = spread::owner(&value.key).is_none_or(|name| self.hosts.keeps(name));
-            if kept && self.spread.adopt(&value) {
+            if kept && self.spread.adopt(self.cx.now, &value) {
                 self.cx.out.push(Output::Value(value));
             }
             return;
@@ -30,7 +30,7 @@
         }
         if let Ok(record) = wire::Host::decode(value.bytes.clone())
             && hosts::stamp(Incarnation(record.incarnation), record.counter) == value.version
-            && self.spread.adopt(&value)
+            && self.spread.adopt(self.cx.now, &value)
         {
             self.hosts
                 .learn(&mut self.cx, &name, value.version, &record);
@@ -60,7 +60,7 @@
             }
             Body::Digest(digest) => {
                 self.hear(from, &digest.dead);
-                if let Some(compare) = self.spread.compare(&digest) {
+                if let Some(compare) = self.spread.compare(&mut self.cx, &digest) {
                     self.send(from, Body::Compare(compare));
                 }
             }
--- a/crates/member/src/member/send.rs
+++ b/crates/member/src/member/send.rs
@@ -97,7 +97,7 @@
 
     /// Adopts a value of this host and sends it to a few peers at once.
     pub(super) fn push_value(&mut self, value: &Value) -> bool {
-        if !self.spread.adopt(value) {
+        if !self.spread.adopt(self.cx.now, value) {
             return false;
         }
         let values = wire::Values {
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -1,7 +1,7 @@
 //! Values that reach every host: pushed to a few, announced to a few more by each host
 //! that adopts them, and compared now and then to repair what was lost.
 
-use crate::hosts;
+use crate::{context::Context, hosts};
 use bytes::Bytes;
 use mulberryrack_core::{Name, Time, hash, view::Value};
 use mulberryrack_wire::member::{self as wire, Announce, Ask, Compare, Digest};
@@ -14,6 +14,10 @@
 const BUCKETS: usize = 1_024;
 /// Keys for each bucket of a digest.
 const KEYS_PER_BUCKET: usize = 8;
+/// Time in which a change reaches most hosts.
+const TRANSIT: Duration = Duration::from_secs(2);
+/// One in this many buckets that have changed within that time is compared.
+const TRANSIT_CHECKS: usize = 8;
 /// Most bytes of values in one frame.
 pub(crate) const MAX_BYTES: usize = 32 * 1_024;
 /// Most key hashes in one frame.
@@ -34,6 +38,8 @@
     slots: BTreeMap<Name, Slot>,
     keys: BTreeMap<u64, Name>,
     buckets: Vec<u32>,
+    /// When each bucket last changed.
+    changed: Vec<Time>,
     /// Adopted since the last announcement.
     fresh: Vec<u64>,
     asked: BTreeMap<u64, (u64, Time)>,
@@ -45,13 +51,14 @@
             slots: BTreeMap::new(),
             keys: BTreeMap::new(),
             buckets: vec![0; BUCKETS],
+            changed: vec![Time::ZERO; BUCKETS],
             fresh: Vec::new(),
             asked: BTreeMap::new(),
         }
     }
 
     /// Takes in a value. Returns whether it is newer than the known one.
-    pub fn adopt(&mut self, value: &Value) -> bool {
+    pub fn adopt(&mut self, now: Time, value: &Value) -> bool {
         let id = hash::stable(value.key.as_bytes(), 0);
         let before = self
             .slots
@@ -64,6 +71,7 @@
             self.mix(id, known);
         }
         self.mix(id, value.version);
+        self.changed[bucket(id, BUCKETS)] = now;
         self.keys.insert(id, value.key.clone());
         self.slots.insert(
             value.key.clone(),
@@ -222,8 +230,8 @@
     }
 
     /// What this host holds in the buckets that differ from a digest; `None` if none
-    /// does.
-    pub fn compare(&self, digest: &Digest) -> Option<Compare> {
+    /// does. Most buckets with a change that is still on its way are left out.
+    pub fn compare(&self, cx: &mut Context, digest: &Digest) -> Option<Compare> {
         let count = digest.buckets.len();
         if !count.is_power_of_two() || count > BUCKETS {
             return None;
@@ -235,7 +243,8 @@
         };
         let held = self.by_bucket(count);
         for (index, (mine, theirs)) in own.iter().zip(&digest.buckets).enumerate() {
-            if mine == theirs || answer.ids.len() + held[index].len() > MAX_IDS {
+            let full = answer.ids.len() + held[index].len() > MAX_IDS;
+            if mine == theirs || full || self.moving(cx, index, count) {
                 continue;
             }
             answer.buckets.push(u32::try_from(index).unwrap_or(0));
@@ -247,6 +256,14 @@
         (!answer.buckets.is_empty()).then_some(answer)
     }
 
+    /// Whether a bucket is passed over because it has changed a moment ago. Now and then
+    /// it is not, so that a bucket that always changes is repaired too.
+    fn moving(&self, cx: &mut Context, index: usize, count: usize) -> bool {
+        let mut folded = self.changed.iter().skip(index).step_by(count);
+        let recent = folded.any(|at| cx.now.since(*at) < TRANSIT);
+        recent && cx.below(TRANSIT_CHECKS) != 0
+    }
+
     fn by_bucket(&self, count: usize) -> Vec<Vec<(u64, u64)>> {
         let mut held = vec![Vec::new(); count];
         for slot in self.slots.values() {
--- a/crates/member/src/store.rs
+++ b/crates/member/src/store.rs
@@ -52,6 +52,13 @@
     until: Time,
 }
 
+/// A version as the service has shown it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Head {
+    revision: Revision,
+    version: u64,
+}
+
 /// What the store needs of the other parts.
 pub(crate) struct Parts<'a> {
     pub hosts: &'a Hosts,
@@ -64,8 +71,8 @@
     next_token: u64,
     calls: BTreeMap<Token, Call>,
     budget: Budget,
-    /// Revision of the newest version seen; zero if there was none.
-    head: Option<Revision>,
+    /// The newest version that the service has shown; zeros if there was none.
+    head: Option<Head>,
     poll_at: Time,
     /// Whether no call of its own was due; hosts that come to need one at the same time
     /// do not make it at the same time.
@@ -213,10 +220,10 @@
             return;
         }
         match self.head {
-            Some(after) if watches && !parts.relay.is_behind() => {
+            Some(head) if watches && !parts.relay.is_behind() => {
                 let op = Op::Watch {
                     prefix: HEAD.into(),
-                    after,
+                    after: head.revision,
                     wait: cx.settings.watch,
                 };
                 self.call(cx, Purpose::Watch, op);
@@ -334,14 +341,21 @@
     fn polled(&mut self, cx: &mut Context, parts: &mut Parts, call: Call, outcome: Outcome) {
         match outcome {
             Ok(Reply::Entry(Some(entry))) => self.see(cx, parts, call.sent, &entry),
-            Ok(Reply::Entry(None)) => self.head = Some(Revision::default()),
-            Ok(Reply::Changes { entries, .. }) => {
-                match entries.iter().find(|entry| &*entry.key == HEAD) {
-                    Some(entry) => self.see(cx, parts, call.sent, entry),
-                    None if self.head != Some(Revision::default()) => {
-                        confirm(parts, parts.relay.version(), call.sent);
-                    }
-                    None => {}
+            Ok(Reply::Entry(None)) => self.head = self.head.or(Some(Head::default())),
+            Ok(Reply::Changes {
+                entries, revision, ..
+            }) => {
+                let entry = entries.iter().find(|entry| &*entry.key == HEAD);
+                let head = self.head.unwrap_or_default();
+                if let Some(entry) = entry {
+                    self.see(cx, parts, call.sent, entry);
+                } else if head.revision > revision || head.version < parts.relay.version() {
+                    // A service that is behind what is in force, or behind what it has
+                    // shown before, confirms nothing.
+                    self.fail(cx, parts);
+                    return;
+                } else if head.version > 0 {
+                    confirm(parts, head.version, call.sent);
                 }
             }
             Ok(_) | Err(_) => {
@@ -392,7 +406,8 @@
             );
             return;
         }
-        self.head = self.head.max(Some(revision));
+        let version = record.version;
+        self.head = self.head.max(Some(Head { revision, version }));
         confirm(parts, record.version, sent);
         if parts.relay.offer(cx, record) == Offer::Gap && self.load_at.is_none() {
             let span = if watches(cx, parts.hosts) {
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -478,7 +478,9 @@
                     .position(|it| it.to == to && it.life == life && it.token == token);
                 if let Some(at) = at {
                     self.watches.swap_remove(at);
-                    let outcome = Ok(self.service.unchanged());
+                    let stale = self.mode == Mode::Stale;
+                    let store = if stale { &self.stale } else { &self.service };
+                    let outcome = Ok(store.unchanged());
                     self.tell(&to, Input::Kv { token, outcome });
                 }
             }
--- a/crates/member/tests/table.rs
+++ b/crates/member/tests/table.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{Fleet, Mode, edited, host, rows};
-use mulberryrack_member::Verdict;
+use mulberryrack_member::{Input, Verdict, record};
+use mulberryrack_wire::member::{self as wire, frame::Body};
 use std::time::Duration;
 
 const WON: Option<&Verdict> = Some(&Verdict::Won { version: 2 });
@@ -200,7 +201,7 @@
         fleet.run_ms(1_000);
     }
     assert!(fleet.all_at(260));
-    let read = |ticket, version| mulberryrack_member::Input::Read { ticket, version };
+    let read = |ticket, version| Input::Read { ticket, version };
     fleet.tell(&host(1), read(900, None));
     fleet.tell(&host(1), read(901, Some(170)));
     fleet.tell(&host(1), read(902, Some(3)));
@@ -284,3 +285,59 @@
     assert!(fleet.all_at(59), "{:?}", fleet.versions());
     fleet.assert_monotonic();
 }
+
+#[test]
+fn stale_peer_does_not_bring_an_old_version_back() {
+    let mut fleet = Fleet::new(3, 17);
+    fleet.settle(rows(40, 1));
+    let old = fleet.node(&host(0)).member.table().expect("in force");
+    fleet.accept(&host(0), 2, 1, "second", edited(40, 3, 5));
+    fleet.run_ms(2_000);
+    assert!(fleet.all_at(2));
+    let record = record::full(&old);
+    let push = wire::TablePush {
+        record: Some(record.clone()),
+        origin: String::new(),
+    };
+    let page = wire::TablePage {
+        head: Some(wire::Record {
+            rows: Vec::new(),
+            ..record.clone()
+        }),
+        total: 40,
+        rows: record.rows.clone(),
+        ..wire::TablePage::default()
+    };
+    for body in [Body::TablePush(push), Body::TablePage(page)] {
+        let frame = wire::Frame { body: Some(body) };
+        let input = Input::Frame {
+            from: host(1),
+            incarnation: fleet.node(&host(1)).life,
+            frame,
+        };
+        fleet.tell(&host(0), input);
+    }
+    fleet.run_ms(2_000);
+    assert!(fleet.all_at(2));
+    fleet.assert_monotonic();
+}
+
+#[test]
+fn stale_service_is_no_evidence_of_being_current() {
+    let mut fleet = Fleet::new(3, 18);
+    fleet.settle(rows(40, 1));
+    fleet.set_mode(Mode::Stale);
+    fleet.accept(&host(0), 2, 1, "second", edited(40, 3, 5));
+    fleet.run_ms(2_000);
+    assert!(fleet.all_at(2));
+    // Every host now asks a service that shows version 1.
+    fleet.run_ms(60_000);
+    for node in fleet.nodes.values() {
+        assert!(!node.member.current(fleet.now));
+    }
+    fleet.set_mode(Mode::Up);
+    fleet.run_ms(30_000);
+    for node in fleet.nodes.values() {
+        assert!(node.member.current(fleet.now));
+    }
+}
