--- a/crates/member/tests/outage.rs
+++ b/crates/member/tests/outage.rs
@@ -220,3 +220,33 @@
     fleet.run_ms(4_000);
     assert!(fleet.all_at(2), "{:?}", fleet.versions());
 }
+
+#[test]
+fn version_accepted_just_before_each_fault_spreads_by_peers() {
+    for mode in modes() {
+        let mut fleet = settled(11, &Mode::Up);
+        fleet.accept(&host(1), 2, 1, "second", edited(40, 3, 5));
+        while fleet.verdict(&host(1), 2).is_none() {
+            fleet.run(Duration::from_micros(100));
+        }
+        fleet.lose_answers_under_way();
+        fleet.set_mode(mode.clone());
+        fleet.run_ms(4_000);
+        assert!(fleet.all_at(2), "{mode:?}: {:?}", fleet.versions());
+    }
+}
+
+#[test]
+fn hosts_all_replaced_while_the_service_answers_badly_recover_by_it() {
+    for mode in modes().into_iter().filter(|mode| !is_unreachable(mode)) {
+        let mut fleet = settled(12, &mode);
+        for name in fleet.names() {
+            fleet.kill(&name);
+        }
+        for index in 0..6 {
+            fleet.start(&host(index), CENTRES[index % 3]);
+        }
+        fleet.run_ms(12_000);
+        assert!(fleet.all_at(1), "{mode:?}: {:?}", fleet.versions());
+    }
+}
