--- a/crates/member/examples/slopes.rs
+++ b/crates/member/examples/slopes.rs
@@ -8,14 +8,11 @@
 
 use common::{Fleet, edited, host, rows};
 use mulberryrack_core::{
-    Time,
+    Name, Time,
     view::{Standing, Value},
 };
 use mulberryrack_member::Input;
-use std::{
-    env, fs,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeSet, env, fs};
 
 /// Rows of the table: 860 models with their adapters.
 const ROWS: usize = 3_000;
@@ -57,7 +54,7 @@
 #[allow(clippy::cast_precision_loss)]
 fn rate(fleet: &mut Fleet, span: u64, mut each_second: impl FnMut(&mut Fleet, u64)) -> Rate {
     let before = totals(fleet);
-    let clock = Instant::now();
+    let clock = processor_time();
     for second in 0..span {
         each_second(fleet, second);
         fleet.run_ms(1_000);
@@ -69,7 +66,7 @@
         frames: (after.frames - before.frames) as f64 / hosts / span,
         bytes: (after.bytes - before.bytes) as f64 / hosts / span,
         calls: (after.calls - before.calls) as f64 / span,
-        cpu: clock.elapsed().as_secs_f64() / hosts / span,
+        cpu: (processor_time() - clock) / hosts / span,
     }
 }
 
@@ -125,6 +122,34 @@
     (times[times.len() / 2], times[times.len() - 1])
 }
 
+/// Near hosts of each row, as a host of the data centre of the one that is to end names
+/// them.
+fn near(fleet: &mut Fleet) -> Vec<BTreeSet<Name>> {
+    let size = fleet.list.len();
+    let at = host(size / 2 % 3);
+    (0..ROWS)
+        .map(|row| {
+            let names = fleet.address(&at, &format!("row-{row:04}"));
+            names.unwrap_or_default().into_iter().take(2).collect()
+        })
+        .collect()
+}
+
+/// Share of the rows whose near hosts have changed.
+#[allow(clippy::cast_precision_loss)]
+fn moved(before: &[BTreeSet<Name>], after: &[BTreeSet<Name>]) -> f64 {
+    let changed = before.iter().zip(after).filter(|(a, b)| a != b).count();
+    changed as f64 / before.len() as f64
+}
+
+/// Seconds that this process has run on a processor.
+#[allow(clippy::cast_precision_loss)]
+fn processor_time() -> f64 {
+    let stat = fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    let nanos = stat.split(' ').next().and_then(|it| it.parse::<u64>().ok());
+    nanos.unwrap_or(0) as f64 / 1e9
+}
+
 fn resident_kb() -> u64 {
     let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
     status
@@ -145,7 +170,7 @@
     let idle = rate(&mut fleet, SPAN, |_, _| {});
     let mut fresh = 0;
     let mut samples = 0;
-    let busy = rate(&mut fleet, SPAN, |fleet, _| {
+    rate(&mut fleet, SPAN, |fleet, _| {
         samples += fleet.nodes.len();
         let now = fleet.now;
         let current = |node: &&common::Node| node.member.current(now);
@@ -164,6 +189,7 @@
     }
     fleet.run_ms(20_000);
     let mut turn = 0;
+    fleet.kinds.clear();
     // As many changes as at full size, so that the rate of one host is that of full
     // size; the table changes once a second.
     let changes = rate(&mut fleet, SPAN, |fleet, second| {
@@ -181,13 +207,21 @@
         let at = host(turn % size);
         fleet.accept(&at, version, version - 1, &change, edited(ROWS, 7, share));
     });
+    let kinds: Vec<String> = fleet
+        .kinds
+        .iter()
+        .map(|(kind, bytes)| format!("{kind}={}", bytes / SPAN / size as u64))
+        .collect();
     let kb = resident_kb().saturating_sub(before_kb) / size as u64;
+    let before = near(&mut fleet);
     let (half, all) = detection(&mut fleet, size / 2);
+    let moved = moved(&before, &near(&mut fleet));
     println!(
         "hosts={size} first_table={first} adopt_ms median={:.0} worst={:.0} lossy_median={:.0} \
          lossy_worst={:.0} idle frames={:.1}/s bytes={:.0}/s calls={:.1}/s cpu={:.3}% \
          current={:.4} changing frames={:.1}/s bytes={:.0}/s calls={:.1}/s cpu={:.3}% \
-         kb_a_host={kb} dead_s median={half:.1} worst={all:.1}",
+         ({}) kb_a_host={kb} dead_s median={half:.1} worst={all:.1} moved={moved:.4} \
+         ideal={:.4}",
         middle(&plain),
         worst(&plain),
         middle(&lossy),
@@ -202,8 +236,9 @@
         changes.bytes,
         changes.calls,
         changes.cpu * 100.0,
+        kinds.join(" "),
+        2.0 / (size as f64 / 3.0),
     );
-    let _ = (busy.calls, Duration::ZERO);
 }
 
 fn middle(times: &[f64]) -> f64 {
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -14,7 +14,7 @@
 use mulberryrack_member::{Input, Member, Output, Settings, Verdict, record};
 use mulberryrack_standin::kv::Store;
 use mulberryrack_table::{Kind, Row, Table};
-use mulberryrack_wire::member::Frame;
+use mulberryrack_wire::member::{Frame, frame::Body};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -104,6 +104,8 @@
     next: u64,
     rng: ChaCha8Rng,
     pub largest_frame: usize,
+    /// Bytes sent by all hosts, by kind of frame.
+    pub kinds: BTreeMap<&'static str, u64>,
     pub loss: f64,
     pub duplicate: f64,
     pub latency: Duration,
@@ -135,6 +137,7 @@
             next: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             largest_frame: 0,
+            kinds: BTreeMap::new(),
             loss: 0.0,
             duplicate: 0.0,
             latency: Duration::from_micros(700),
@@ -277,6 +280,7 @@
                 );
                 let bytes = frame.encode_to_vec();
                 self.largest_frame = self.largest_frame.max(bytes.len());
+                *self.kinds.entry(kind(&frame)).or_default() += bytes.len() as u64;
                 node.frames += 1;
                 node.bytes += bytes.len() as u64;
                 self.transmit(name, life, &to, &bytes);
@@ -645,6 +649,19 @@
     }
 }
 
+const fn kind(frame: &Frame) -> &'static str {
+    match &frame.body {
+        Some(Body::Ping(_) | Body::Ack(_) | Body::Detour(_)) => "probe",
+        Some(Body::Values(_)) => "values",
+        Some(Body::Announce(_)) => "announce",
+        Some(Body::Ask(_)) => "ask",
+        Some(Body::Digest(_) | Body::Compare(_)) => "compare",
+        Some(Body::Fetch(_) | Body::Page(_)) => "page",
+        Some(_) => "table",
+        None => "empty",
+    }
+}
+
 pub fn host(index: usize) -> Name {
     format!("host-{index:04}").into()
 }
--- a/crates/member/tests/table.rs
+++ b/crates/member/tests/table.rs
@@ -324,7 +324,7 @@
 
 #[test]
 fn stale_service_is_no_evidence_of_being_current() {
-    let mut fleet = Fleet::new(3, 18);
+    let mut fleet = Fleet::new(12, 18);
     fleet.settle(rows(40, 1));
     fleet.set_mode(Mode::Stale);
     fleet.accept(&host(0), 2, 1, "second", edited(40, 3, 5));
