Member: rumours end with the suspicion; first comparison soon after the first pages

Cause: rumours that had been refuted stayed in the queue. Change: only rumours on hosts that are still suspect or dead here are passed on; a host that starts compares its values one second after the first pages. Shown by: refuted_rumours_are_no_longer_passed_on (red without the check).

--- a/crates/member/src/member/frame.rs
+++ b/crates/member/src/member/frame.rs
@@ -7,6 +7,9 @@
 use prost::Message;
 use std::time::Duration;
 
+/// Time from the last page of a peer's values to the first comparison.
+const FIRST_REPAIR: Duration = Duration::from_secs(1);
+
 impl Member {
     /// Takes in a value of another host.
     pub(super) fn take_value(&mut self, from: &Name, sent: &wire::Value) {
@@ -205,7 +208,12 @@
         }
         match page.values.last() {
             Some(value) if !page.last => self.ask_page(from.clone(), value.key.clone()),
-            _ => self.fetch = Fetch::Done,
+            _ => {
+                self.fetch = Fetch::Done;
+                // What came up in the meantime, where many hosts start at once.
+                let soon = self.cx.now + FIRST_REPAIR;
+                self.repair_at = self.repair_at.min(soon);
+            }
         }
     }
 
--- a/crates/member/src/member/send.rs
+++ b/crates/member/src/member/send.rs
@@ -50,7 +50,7 @@
                 version: evidence.version,
                 age_ms: u64::try_from(now.since(evidence.at).as_millis()).unwrap_or(u64::MAX),
             }),
-            rumours: self.prober.rumours(),
+            rumours: self.prober.rumours(&self.hosts),
             held,
         }
     }
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -241,8 +241,15 @@
         });
     }
 
-    /// Rumours for the next frame, those passed on least first.
-    pub fn rumours(&mut self) -> Vec<Rumour> {
+    /// Rumours for the next frame, those passed on least first. Those that have been
+    /// refuted are dropped.
+    pub fn rumours(&mut self, hosts: &Hosts) -> Vec<Rumour> {
+        self.hot.retain(|hot| {
+            hosts
+                .map
+                .get(&*hot.rumour.name)
+                .is_some_and(|host| host.stamp <= hot.rumour.stamp && host.health > Health::Alive)
+        });
         self.hot.sort_by_key(|hot| std::cmp::Reverse(hot.left));
         let rumours = self
             .hot
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -5,6 +5,7 @@
 use common::{CENTRES, Fleet, host, listing, rows};
 use mulberryrack_core::{Name, view::Standing};
 use mulberryrack_member::Input;
+use mulberryrack_wire::member as wire;
 use std::time::Duration;
 
 /// Time by which every host holds a host dead that ended without notice.
@@ -279,6 +280,23 @@
     for name in fleet.names() {
         assert_eq!(fleet.standing(&name, "host-0004"), None);
     }
+    // A host that has been apart for long still has the value.
+    let late = wire::Value {
+        key: key.into(),
+        version: 2,
+        bytes: vec![2].into(),
+        ..wire::Value::default()
+    };
+    let values = wire::Values { values: vec![late] };
+    let frame = Input::Frame {
+        from: host(1),
+        incarnation: fleet.node(&host(1)).life,
+        frame: wire::Frame {
+            body: Some(wire::frame::Body::Values(values)),
+        },
+    };
+    fleet.tell("host-0000", frame);
+    fleet.run_ms(10_000);
     fleet.start("host-0100", CENTRES[0]);
     fleet.run_ms(10_000);
     assert_eq!(fleet.standing("host-0100", "host-0004"), None);
@@ -352,3 +370,36 @@
     assert!(suspected.count() > 1_000);
     assert!(dead.is_empty(), "{} deaths: {dead:?}", dead.len());
 }
+
+#[test]
+fn lists_leaving_mark_counts_for_the_life_that_it_was_set_in() {
+    let mut fleet = started(5, 18);
+    let at = fleet.list.iter().position(|it| &*it.name == "host-0002");
+    fleet.list[at.expect("listed")].leaving = true;
+    fleet.run_ms(6_000);
+    assert!(fleet.all_see("host-0002", Standing::Leaving));
+    // The list lags and still has the mark when the next life runs.
+    fleet.kill("host-0002");
+    fleet.start("host-0002", CENTRES[2]);
+    fleet.run_ms(12_000);
+    assert!(fleet.all_see("host-0002", Standing::Alive));
+}
+
+#[test]
+fn refuted_rumours_are_no_longer_passed_on() {
+    let mut fleet = Fleet::new(60, 19);
+    fleet.run_ms(20_000);
+    assert!(fleet.whole());
+    let sent = |fleet: &Fleet| fleet.kinds.get("probe").copied().unwrap_or(0);
+    let quiet = sent(&fleet);
+    fleet.run_ms(10_000);
+    let usual = sent(&fleet) - quiet;
+    fleet.loss = 0.3;
+    fleet.run_ms(60_000);
+    fleet.loss = 0.0;
+    fleet.run_ms(10_000);
+    let before = sent(&fleet);
+    fleet.run_ms(10_000);
+    let after = sent(&fleet) - before;
+    assert!(after * 4 <= usual * 5, "{after} bytes, {usual} before");
+}
