--- a/crates/member/src/member/frame.rs
+++ b/crates/member/src/member/frame.rs
@@ -7,6 +7,9 @@
 use prost::Message;
 use std::time::Duration;
 
+/// Time from the last page of a peer's values to the first comparison.
+const FIRST_REPAIR: Duration = Duration::from_secs(1);
+
 impl Member {
     /// Takes in a value of another host.
     pub(super) fn take_value(&mut self, from: &Name, sent: &wire::Value) {
@@ -16,7 +19,7 @@
         };
         let Some(name) = value.key.strip_prefix(hosts::PREFIX) else {
             let kept = spread::owner(&value.key).is_none_or(|name| self.hosts.keeps(name));
-            if kept && self.spread.adopt(&value) {
+            if kept && self.spread.adopt(self.cx.now, &value) {
                 self.cx.out.push(Output::Value(value));
             }
             return;
@@ -30,7 +33,7 @@
         }
         if let Ok(record) = wire::Host::decode(value.bytes.clone())
             && hosts::stamp(Incarnation(record.incarnation), record.counter) == value.version
-            && self.spread.adopt(&value)
+            && self.spread.adopt(self.cx.now, &value)
         {
             self.hosts
                 .learn(&mut self.cx, &name, value.version, &record);
@@ -60,7 +63,7 @@
             }
             Body::Digest(digest) => {
                 self.hear(from, &digest.dead);
-                if let Some(compare) = self.spread.compare(&digest) {
+                if let Some(compare) = self.spread.compare(&mut self.cx, &digest) {
                     self.send(from, Body::Compare(compare));
                 }
             }
@@ -205,7 +208,12 @@
         }
         match page.values.last() {
             Some(value) if !page.last => self.ask_page(from.clone(), value.key.clone()),
-            _ => self.fetch = Fetch::Done,
+            _ => {
+                self.fetch = Fetch::Done;
+                // What came up in the meantime, where many hosts start at once.
+                let soon = self.cx.now + FIRST_REPAIR;
+                self.repair_at = self.repair_at.min(soon);
+            }
         }
     }
 
@@ -214,9 +222,6 @@
             return;
         };
         self.hosts.has_table(from, record.version);
-        if !push.origin.is_empty() && record.version > self.relay.version() {
-            self.origin = Some((record.version, push.origin.as_str().into()));
-        }
         self.relay.offer(&mut self.cx, &record);
     }
 }
