Releases: old copies may go once enough copies of any version are ready

A second release in mid-release did not land in 400 s on engines that are 87% full by lowest numbers: copies of the two older versions held each other. An old copy now also counts as spare when more copies of any version are ready than the row should have.

--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -119,11 +119,21 @@
         }
         let ready = self.world.ready(copy.row, true);
         if !copy.current {
-            return (ready >= row.min.max(1)).then_some(Reason::OldVersion);
+            let enough = ready >= row.min.max(1);
+            let spare = self.world.ready(copy.row, false) > self.target(copy.row);
+            return (enough || spare).then_some(Reason::OldVersion);
         }
         (ready > row.max.max(row.min).max(1)).then_some(Reason::Surplus)
     }
 
+    /// Copies that the row should have by its lowest number and its load.
+    fn target(&self, row: usize) -> u32 {
+        let row = &self.world.rows[row];
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let wanted = (row.load / self.limits.copy_load).ceil() as u32;
+        wanted.min(row.max).max(row.min).max(1)
+    }
+
     /// Whether adapters on the engine stand on this copy alone.
     pub fn carries(&self, e: usize, c: usize) -> bool {
         let copies = &self.world.engines[e].copies;
--- a/crates/place/src/room.rs
+++ b/crates/place/src/room.rs
@@ -141,7 +141,7 @@
         if copy.current {
             ready > floor
         } else {
-            !row.listed || ready >= 1
+            !row.listed || ready >= 1 || self.world.ready(copy.row, false) > floor
         }
     }
 
@@ -291,7 +291,10 @@
         State::Coming => false,
         State::Ready if holds_adapters(world, e, copy.row) => false,
         State::Ready if copy.current => world.have(copy.row) > row.min.max(1),
-        State::Ready => !row.listed || world.have(copy.row) >= 1,
+        State::Ready => {
+            let spare = world.ready(copy.row, false) > row.min.max(1);
+            !row.listed || world.have(copy.row) >= 1 || spare
+        }
     }
 }
 
