--- a/crates/place/src/cell.rs
+++ b/crates/place/src/cell.rs
@@ -3,19 +3,18 @@
 use crate::{
     Output, Settings,
     demand::Book,
-    engine::{Engine, Verdict},
-    plan::{self, Limits, refresh},
+    engine::Engine,
+    plan::{self, Limits},
     record::Intent,
     tenure::{Ask, Tenure},
-    world::{self, Copy, Row, State, Step, World},
+    world::{Row, Step},
 };
 use mulberryrack_core::{
     Incarnation, Name, Time, earliest,
     kv::{Fault, Op, Outcome, Reply, Token},
     node::Listing,
     note::{Counter, Level, Note},
-    request::Priority,
-    upstream::{Action, Contact, Order, Residency},
+    upstream::{Action, Contact},
     view::Value,
 };
 use mulberryrack_table::Table;
@@ -35,15 +34,6 @@
 /// Time after which a plan is made though nothing seems to have changed.
 const PLAN_AGAIN: Duration = Duration::from_secs(5);
 
-/// A routable copy.
-#[derive(Clone, Debug)]
-struct Place {
-    engine: Name,
-    version: Name,
-    /// Whether the engine has answered within the last polls.
-    fresh: bool,
-}
-
 /// What a call to the key-value service was made for.
 #[derive(Clone, Debug)]
 pub(crate) enum What {
@@ -219,11 +209,12 @@
             self.unpublished = true;
             self.plan(now, term, shared, fx);
         }
-        if std::mem::take(&mut self.unpublished) {
+        let changed = std::mem::take(&mut self.unpublished);
+        if changed {
             self.publish(now, term, shared, fx);
         }
         self.store(now, term, shared, fx);
-        self.send(now, term, shared, fx);
+        self.send(now, term, changed, shared, fx);
     }
 
     /// When [`Cell::drive`] has something to do.
@@ -402,7 +393,7 @@
     }
 
     /// Whether so many engines are silent that the fault may be on this side.
-    fn isolated(&self, now: Time, lost: Duration) -> bool {
+    pub fn isolated(&self, now: Time, lost: Duration) -> bool {
         let silent = self.engines.values().filter(|e| !e.answers(now, lost));
         silent.count() * 2 > self.engines.len()
     }
@@ -439,52 +430,6 @@
         }
     }
 
-    fn send(&mut self, now: Time, term: u64, shared: &Shared, fx: &mut Effects<'_>) {
-        let routable = self.routable(now, shared);
-        for engine in self.engines.values_mut() {
-            if !engine.holds(term) {
-                continue;
-            }
-            let judge =
-                |engine: &Engine, intent: &Intent| verdict(engine, intent, term, shared, &routable);
-            let orders: Vec<Order> = engine.due(now, term, &shared.settings, judge);
-            for order in orders {
-                fx.out.push(Output::Order {
-                    engine: engine.listing.name.clone(),
-                    address: engine.listing.address.clone(),
-                    order,
-                });
-            }
-        }
-    }
-
-    /// Routable copies by row; empty when no unload is pending.
-    fn routable(&self, now: Time, shared: &Shared) -> BTreeMap<Name, Vec<Place>> {
-        let mut routable: BTreeMap<Name, Vec<Place>> = BTreeMap::new();
-        let unloads = |engine: &Engine| engine.confirmed().any(|i| i.unload().is_some());
-        if !self.engines.values().any(unloads) {
-            return routable;
-        }
-        for engine in self.engines.values() {
-            if engine.leaving() || !engine.answers(now, shared.settings.lost) {
-                continue;
-            }
-            for resident in engine.report.iter().flat_map(|report| &report.residents) {
-                let (row, version) = (&resident.row, &resident.version);
-                let known = engine.known_routable(now, row, version, shared.settings.unroute);
-                if known && engine.routable(row, version, shared.base(row).as_deref()) {
-                    let place = Place {
-                        engine: engine.listing.name.clone(),
-                        version: version.clone(),
-                        fresh: engine.fresh(now, shared.settings.poll),
-                    };
-                    routable.entry(row.clone()).or_default().push(place);
-                }
-            }
-        }
-        routable
-    }
-
     fn plan(&mut self, now: Time, term: u64, shared: &Shared, fx: &mut Effects<'_>) {
         self.allow(now, shared);
         let settled = |e: &Engine| e.holds(term) && e.reported.is_some_and(|at| at >= self.resumed);
@@ -563,108 +508,6 @@
         fx.out.push(Output::Note(note));
         fx.out.push(Output::Count(Counter::Move));
     }
-
-    /// The world as it is now, for planning.
-    pub fn survey(&self, now: Time, term: u64, shared: &Shared) -> World {
-        let isolated = self.isolated(now, shared.settings.lost);
-        let mut rows = shared.rows.clone();
-        for (row, home) in rows.iter_mut().zip(&shared.homes) {
-            row.listed = *home == self.id;
-            row.load = shared.demand.load(&row.name) * weight(row.priority);
-        }
-        let mut engines = Vec::with_capacity(self.engines.len());
-        let mut index = shared.index.clone();
-        for engine in self.engines.values() {
-            let answers = engine.answers(now, shared.settings.lost);
-            let copies = self.copies(engine, now, shared, &mut rows, &mut index);
-            let refused = (0..shared.rows.len())
-                .filter(|&row| engine.refuses(now, &shared.rows[row].name))
-                .collect();
-            let centre = shared.centres.binary_search(&engine.listing.data_centre);
-            engines.push(world::Engine {
-                name: engine.listing.name.clone(),
-                data_centre: centre.unwrap_or(0),
-                capacity_mb: engine.capacity_mb(),
-                used_mb: engine.used_mb(),
-                restart_mb: engine.restart_mb(),
-                open: engine.open(now, term) && answers && !engine.leaving(),
-                counts: !engine.leaving() && (answers || isolated),
-                copies,
-                refused,
-            });
-        }
-        for row in rows.iter_mut().skip(shared.rows.len()) {
-            let base = shared.former.get(&row.name);
-            row.base = base.and_then(|base| index.get(base)).copied();
-        }
-        let mut world = World::new(rows, engines);
-        refresh(&mut world);
-        world
-    }
-
-    fn copies(
-        &self,
-        engine: &Engine,
-        now: Time,
-        shared: &Shared,
-        rows: &mut Vec<Row>,
-        index: &mut BTreeMap<Name, usize>,
-    ) -> Vec<Copy> {
-        let mut copies: Vec<Copy> = Vec::new();
-        let mut add = |row: &Name, version: &Name, memory_mb: u64, state: State| {
-            let key = *index.entry(row.clone()).or_insert_with(|| {
-                rows.push(stranger(row, version));
-                rows.len() - 1
-            });
-            let known = copies
-                .iter()
-                .any(|copy| copy.row == key && copy.version == *version);
-            if !known {
-                copies.push(Copy {
-                    row: key,
-                    version: version.clone(),
-                    current: false,
-                    memory_mb,
-                    state,
-                });
-            }
-        };
-        for resident in engine.report.iter().flat_map(|report| &report.residents) {
-            let (row, version) = (&resident.row, &resident.version);
-            let state = self.state(engine, row, version, resident.state, now, shared);
-            add(row, version, resident.memory_mb, state);
-        }
-        for intent in engine.pending() {
-            if let Some(((row, version), memory_mb)) = intent.load() {
-                add(&row, &version, memory_mb, State::Coming);
-            } else if let Some((row, version)) = intent.unload() {
-                add(&row, &version, 0, State::Going);
-            }
-        }
-        copies
-    }
-
-    fn state(
-        &self,
-        engine: &Engine,
-        row: &Name,
-        version: &Name,
-        residency: Residency,
-        now: Time,
-        shared: &Shared,
-    ) -> State {
-        if residency == Residency::Unloading || engine.unloads(row, version) {
-            return State::Going;
-        }
-        let base = shared.base(row);
-        let routable = engine.known_routable(now, row, version, shared.settings.unroute)
-            && engine.routable(row, version, base.as_deref());
-        if routable && !shared.only_here(self.id, row) {
-            State::Ready
-        } else {
-            State::Coming
-        }
-    }
 }
 
 impl Shared {
@@ -676,7 +519,7 @@
 
     /// Whether a row of the table belongs to another cell and is routable only in this
     /// one: its copies stay until the other cell has its own.
-    fn only_here(&self, cell: u32, row: &str) -> bool {
+    pub fn only_here(&self, cell: u32, row: &str) -> bool {
         let Some(&index) = self.index.get(row) else {
             return false;
         };
@@ -688,29 +531,6 @@
     }
 }
 
-/// How much one pending request weighs against those of other rows.
-const fn weight(priority: Priority) -> f64 {
-    match priority {
-        Priority::Urgent => 4.0,
-        Priority::Normal => 1.0,
-        Priority::Bulk => 0.5,
-    }
-}
-
-fn stranger(row: &Name, version: &Name) -> Row {
-    Row {
-        name: row.clone(),
-        version: version.clone(),
-        memory_mb: 0,
-        base: None,
-        priority: Priority::Bulk,
-        min: 0,
-        max: 0,
-        load: 0.0,
-        listed: false,
-    }
-}
-
 fn action(step: &Step, shared: &Shared) -> Action {
     let (row, version) = (step.row.clone(), step.version.clone());
     if !step.load {
@@ -725,41 +545,3 @@
         base,
     }
 }
-
-/// Whether a recorded order is still wanted.
-fn verdict(
-    engine: &Engine,
-    intent: &Intent,
-    term: u64,
-    shared: &Shared,
-    routable: &BTreeMap<Name, Vec<Place>>,
-) -> Verdict {
-    // What a former planner recorded may be sent by that planner at any time. Its ids are
-    // used up, and what is still missing is ordered anew.
-    if intent.term != term {
-        return Verdict::Cancel;
-    }
-    match &intent.action {
-        Action::Load { row, version, .. } => {
-            let listed = shared.index.get(row).map(|&index| &shared.rows[index]);
-            let current = listed.is_some_and(|row| row.version == *version);
-            if current && !engine.leaving() {
-                Verdict::Send
-            } else {
-                Verdict::Cancel
-            }
-        }
-        Action::Unload { row, .. } if !shared.index.contains_key(row) => Verdict::Send,
-        Action::Unload { row, version } => {
-            let here = (&engine.listing.name, version);
-            let places = routable.get(row).map_or(&[][..], Vec::as_slice);
-            let mut others = places.iter().filter(|p| (&p.engine, &p.version) != here);
-            match others.clone().next() {
-                None => Verdict::Cancel,
-                Some(_) if others.any(|place| place.fresh) => Verdict::Send,
-                Some(_) => Verdict::Wait,
-            }
-        }
-        _ => Verdict::Cancel,
-    }
-}
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -489,54 +489,55 @@
         true
     }
 
-    /// Orders that are due, each with what `judge` says of it.
-    pub fn due(
-        &mut self,
-        now: Time,
-        term: u64,
-        settings: &Settings,
-        judge: impl Fn(&Engine, &Intent) -> Verdict,
-    ) -> Vec<Order> {
+    /// Recorded orders that may have to be sent now; with `recheck` also unloads that were
+    /// sent and may no longer be wanted.
+    pub fn due(&mut self, now: Time, recheck: bool) -> Vec<Intent> {
+        self.strike(now);
         let life = self.draft.life;
-        let open: Vec<Intent> = self
-            .confirmed()
+        self.confirmed()
             .filter(|intent| intent.open(life) && !self.under_way(intent))
+            .filter(|intent| {
+                let sending = self.sends.get(&intent.id);
+                let revocable =
+                    sending.is_some_and(|s| s.sent && !s.cancelled) && intent.unload().is_some();
+                sending.is_none_or(|s| s.is_due(now)) || (recheck && revocable)
+            })
             .cloned()
-            .collect();
-        self.strike(now);
-        let mut orders = Vec::new();
-        for intent in open {
-            let sending = self.sends.get(&intent.id).cloned().unwrap_or_default();
-            // An unload that is no longer wanted is overtaken, not waited for.
-            let wanted = sending.sent && !sending.cancelled && intent.unload().is_some();
-            if !sending.is_due(now) && !wanted {
-                continue;
-            }
-            let verdict = judge(self, &intent);
-            let cancel = verdict == Verdict::Cancel;
-            if verdict == Verdict::Wait || !(cancel || sending.is_due(now)) {
-                continue;
-            }
-            let sending = self.sends.entry(intent.id).or_default();
-            if sending.outstanding.is_some() {
-                sending.uncertain = Some(now + settings.order_lifetime);
-            }
-            sending.cancelled |= cancel;
-            sending.sent |= !sending.cancelled;
-            sending.outstanding = Some(now);
-            sending.next = now + settings.resend;
-            let action = if sending.cancelled {
-                nothing(&intent.action)
-            } else {
-                intent.action.clone()
-            };
-            orders.push(Order {
-                id: intent.id,
-                fence: term,
-                action,
-            });
+            .collect()
+    }
+
+    /// The order for an intent by what was judged of it. An unload that is no longer
+    /// wanted is overtaken at once, not at its resend time.
+    pub fn order(
+        &mut self,
+        now: Time,
+        term: u64,
+        intent: &Intent,
+        verdict: Verdict,
+        resend: Duration,
+    ) -> Option<Order> {
+        let sending = self.sends.entry(intent.id).or_default();
+        let cancel = verdict == Verdict::Cancel;
+        if verdict == Verdict::Wait || !(cancel || sending.is_due(now)) {
+            return None;
+        }
+        if sending.outstanding.is_some() {
+            sending.uncertain = Some(now + self.order_lifetime);
         }
-        orders
+        sending.cancelled |= cancel;
+        sending.sent |= !sending.cancelled;
+        sending.outstanding = Some(now);
+        sending.next = now + resend;
+        let action = if sending.cancelled {
+            nothing(&intent.action)
+        } else {
+            intent.action.clone()
+        };
+        Some(Order {
+            id: intent.id,
+            fence: term,
+            action,
+        })
     }
 
     /// Whether the engine shows that it is carrying the order out.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,6 +7,7 @@
 mod cell;
 mod check;
 mod demand;
+mod dispatch;
 mod engine;
 mod plan;
 mod planner;
@@ -15,6 +16,7 @@
 mod room;
 mod settings;
 mod status;
+mod survey;
 mod tenure;
 mod world;
 
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -10,6 +10,9 @@
 /// Most rows that are tried in vain in one call.
 const MAX_FAILURES: u32 = 32;
 
+/// Most worlds that are tried for chains of moves in one call.
+const MAX_TRIALS: u32 = 64;
+
 /// What a call may do.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limits {
@@ -44,6 +47,8 @@
     pub world: &'a mut World,
     pub limits: Limits,
     pub steps: Vec<Step>,
+    /// Worlds that may still be tried for chains of moves.
+    pub trials: u32,
 }
 
 /// Takes the next steps in `world`, which is left as if they were pending.
@@ -52,6 +57,7 @@
         world,
         limits,
         steps: Vec::new(),
+        trials: MAX_TRIALS,
     };
     plan.retire();
     plan.supply();
--- a/crates/place/src/room.rs
+++ b/crates/place/src/room.rs
@@ -170,6 +170,10 @@
             .collect();
         engines.sort_by_key(|&e| (extra.saturating_sub(self.world.free_mb(e)), e));
         for e in engines {
+            if self.trials == 0 {
+                break;
+            }
+            self.trials -= 1;
             let mut trial = self.world.clone();
             let short = extra.saturating_sub(self.world.free_mb(e));
             if let Some(links) = self.clear(&mut trial, e, short, CHAIN_DEPTH, need) {
@@ -202,7 +206,7 @@
 
     /// Finds moves after which `short` megabytes of the engine can be freed.
     fn clear(
-        &self,
+        &mut self,
         trial: &mut World,
         e: usize,
         short: u64,
@@ -233,7 +237,7 @@
 
     /// Makes room on another engine for a row that is to move there later.
     fn clear_target(
-        &self,
+        &mut self,
         trial: &mut World,
         from: usize,
         row: usize,
@@ -246,6 +250,10 @@
         let extra = trial.rows[row].memory_mb;
         let engines = (0..trial.engines.len()).filter(|&f| f != from && may_take(trial, f, row));
         for f in engines.collect::<Vec<_>>() {
+            if self.trials == 0 {
+                return None;
+            }
+            self.trials -= 1;
             let mut deeper = trial.clone();
             let short = extra.saturating_sub(deeper.free_mb(f));
             let Some(mut links) = self.clear(&mut deeper, f, short, depth - 1, need) else {
