--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -61,6 +61,7 @@
     };
     plan.retire();
     plan.supply();
+    plan.trim();
     plan.steps
 }
 
@@ -123,13 +124,30 @@
         if !row.listed {
             return Some(Reason::Removed);
         }
-        let ready = self.world.ready(copy.row, true);
-        if !copy.current {
-            let enough = ready >= row.min.max(1);
-            let spare = self.world.ready(copy.row, false) > self.target(copy.row);
-            return (enough || spare).then_some(Reason::OldVersion);
+        let enough = self.world.ready(copy.row, true) >= row.min.max(1);
+        let spare = self.world.ready(copy.row, false) > self.target(copy.row);
+        (!copy.current && (enough || spare)).then_some(Reason::OldVersion)
+    }
+
+    /// Unloads copies beyond the highest number; not while a row lacks copies, since a
+    /// chain of moves has a copy at both ends for a time.
+    fn trim(&mut self) {
+        let lacking = |need: &Need| need.reason != Reason::Demand;
+        if (0..self.world.rows.len()).any(|row| self.need(row).as_ref().is_some_and(lacking)) {
+            return;
+        }
+        for e in 0..self.world.engines.len() {
+            for c in 0..self.world.engines[e].copies.len() {
+                let copy = &self.world.engines[e].copies[c];
+                let row = &self.world.rows[copy.row];
+                let most = row.max.max(row.min).max(1);
+                let spare = self.world.ready(copy.row, true) > most;
+                let open = self.world.engines[e].open && copy.state == State::Ready;
+                if open && copy.current && spare && !self.carries(e, c) {
+                    self.unload(e, c, Reason::Surplus);
+                }
+            }
         }
-        (ready > row.max.max(row.min).max(1)).then_some(Reason::Surplus)
     }
 
     /// Copies that the row should have by its lowest number and its load.
