--- a/crates/place/src/cell.rs
+++ b/crates/place/src/cell.rs
@@ -73,6 +73,9 @@
     /// The cell of each row.
     pub homes: Vec<u32>,
     pub centres: Vec<Name>,
+    /// Engines on which the lowest numbers of copies of all rows fit together, by row;
+    /// empty when not known.
+    pub targets: Vec<BTreeSet<Name>>,
     /// Number of cells.
     pub cells: u32,
     pub demand: Book,
--- a/crates/place/src/check.rs
+++ b/crates/place/src/check.rs
@@ -9,7 +9,7 @@
     node::{Listing, Role},
 };
 use mulberryrack_table::{Kind, Table};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most steps that a trial takes for each row.
 const STEPS_PER_ROW: usize = 20;
@@ -38,14 +38,45 @@
 /// Every row that cannot be placed once the others are.
 pub fn check(table: &Table, engines: &[Listing]) -> Result<(), Vec<Shortfall>> {
     let centres = centres(engines);
-    let mut world = empty(table, engines, &centres);
+    let world = filled(table, engines, &centres, false);
+    if complete(&world) || complete(&filled(table, engines, &centres, true)) {
+        return Ok(());
+    }
+    let short = (0..world.rows.len())
+        .filter(|&row| world.have(row) < world.rows[row].min)
+        .map(|row| shortfall(&world, row, &centres));
+    Err(short.collect())
+}
+
+/// A placement that gives every row its lowest number of copies: the engines of each row,
+/// by the row's index. Empty when none is found.
+pub(crate) fn placement(table: &Table, engines: &[Listing]) -> Vec<BTreeSet<Name>> {
+    let centres = centres(engines);
+    let world = [false, true]
+        .into_iter()
+        .map(|tight| filled(table, engines, &centres, tight))
+        .find(complete);
+    let Some(world) = world else {
+        return Vec::new();
+    };
+    let places = |row| {
+        let copies = world.copies(row);
+        copies.map(|(e, _)| world.engines[e].name.clone()).collect()
+    };
+    (0..world.rows.len()).map(places).collect()
+}
+
+fn complete(world: &World) -> bool {
+    (0..world.rows.len()).all(|row| world.have(row) >= world.rows[row].min)
+}
+
+/// Empty engines with the table placed on them as far as there is room.
+fn filled(table: &Table, engines: &[Listing], centres: &[Name], tight: bool) -> World {
+    let mut world = empty(table, engines, centres);
+    world.tight = tight;
     let most = world.rows.len() * STEPS_PER_ROW;
     finish(&mut world, minimum(), most);
-    let short: Vec<Shortfall> = (0..world.rows.len())
-        .filter(|&row| world.have(row) < world.rows[row].min)
-        .map(|row| shortfall(&world, row, &centres))
-        .collect();
-    if short.is_empty() { Ok(()) } else { Err(short) }
+    world
 }
 
 /// Limits under which only lowest numbers of copies are met.
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -39,6 +39,13 @@
     Steady,
 }
 
+/// A write whose outcome is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// The revision that the write expects.
+    expected: Option<Revision>,
+}
+
 /// An order on its way.
 #[derive(Clone, Debug, Default)]
 struct Sending {
@@ -72,6 +79,8 @@
     stored: Option<(Record, Option<Revision>)>,
     /// The stored record with what is still to be written.
     draft: Record,
+    /// A write that may take effect for as long as the record has the expected revision.
+    doubtful: Option<Doubt>,
     /// When a former planner's orders were taken over.
     adopted: Time,
     order_lifetime: Duration,
@@ -114,6 +123,7 @@
             phase: Phase::Unread,
             stored: None,
             draft: Record::default(),
+            doubtful: None,
             adopted: now,
             order_lifetime: settings.order_lifetime,
             planner_lifetime: settings.planner_lifetime,
@@ -405,7 +415,7 @@
             Phase::Steady => {
                 let (stored, _) = self.stored.as_ref()?;
                 let fresh = self.draft.intents.len() > self.confirmed().count();
-                if fresh || stored.term != term {
+                if fresh || stored.term != term || self.doubtful.is_some() {
                     return Some(self.retry_after);
                 }
                 let tidy = stored.intents != self.draft.intents;
@@ -420,6 +430,7 @@
             self.phase = Phase::Unread;
             return;
         };
+        self.doubtful = None;
         let known: BTreeSet<u64> = self.confirmed().map(|intent| intent.id).collect();
         self.stored = Some((record, Some(revision)));
         let fresh: Vec<(u64, bool)> = self
@@ -453,6 +464,10 @@
     /// The call's outcome is not known: the record must be read.
     pub fn unsure(&mut self, now: Time) {
         self.retry_after = now + WRITE_AGAIN;
+        if matches!(self.phase, Phase::Busy(Some(_))) {
+            let expected = self.stored.as_ref().and_then(|(_, revision)| *revision);
+            self.doubtful = Some(Doubt { expected });
+        }
         self.phase = Phase::Unread;
     }
 
@@ -475,6 +490,8 @@
                 self.sends.entry(intent.id).or_default().next = now + s.unroute;
             }
         }
+        let revision = entry.map(|entry| entry.revision);
+        self.doubtful = self.doubtful.filter(|doubt| doubt.expected == revision);
         self.draft = record.clone();
         self.draft.term = term;
         self.stored = Some((record, entry.map(|entry| entry.revision)));
@@ -554,7 +571,9 @@
     /// Whether every host can know by now that new requests may go to the copy.
     pub fn known_routable(&self, now: Time, row: &Name, version: &Name, spread: Duration) -> bool {
         let since = self.routes.get(&(row.clone(), version.clone()));
-        since.is_some_and(|since| now.since(*since) >= spread)
+        self.doubtful.is_none()
+            && !self.draft.unloads(row, version)
+            && since.is_some_and(|since| now.since(*since) >= spread)
     }
 
     /// The spread value, if it differs from what was published last.
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -297,6 +297,7 @@
                     let centre = self.world.engines[e].data_centre;
                     (
                         !self.replaces_base(e, need.row),
+                        need.reason != Reason::Demand && !self.world.targets(e, need.row),
                         spread.get(&centre).copied().unwrap_or(0),
                     )
                 };
@@ -305,6 +306,9 @@
                     .engine_load(a)
                     .total_cmp(&self.world.engine_load(b));
                 let free = self.world.free_mb(b).cmp(&self.world.free_mb(a));
+                if self.world.tight {
+                    return free.reverse().then(a.cmp(&b));
+                }
                 near(a).cmp(&near(b)).then(load).then(free)
             })
     }
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -65,6 +65,7 @@
                 former: BTreeMap::new(),
                 homes: Vec::new(),
                 centres: Vec::new(),
+                targets: Vec::new(),
                 cells: 1,
                 demand: Book::default(),
                 spread: BTreeMap::new(),
@@ -279,6 +280,11 @@
             homes[row] = homes[rows[row].base.unwrap_or(row)];
         }
         self.shared.homes = homes;
+        // With several cells each holds only a part of the table.
+        self.shared.targets = match &self.shared.table {
+            Some(table) if cells == 1 => check::placement(table, &self.engines),
+            _ => Vec::new(),
+        };
         for cell in self.cells.values_mut() {
             cell.dirty = true;
         }
--- a/crates/place/src/room.rs
+++ b/crates/place/src/room.rs
@@ -52,7 +52,7 @@
             return Search::Failed;
         }
         for group in groups {
-            self.evict_group(e, &group);
+            self.evict_group(e, &group, need.reason);
         }
         self.world.engines[e].used_mb += extra;
         Search::Under
@@ -154,10 +154,11 @@
         self.relief(copy.row, others)
     }
 
-    /// Orders the adapters of a group away, or its base once they are gone.
-    fn evict_group(&mut self, e: usize, group: &Group) {
+    /// Orders the adapters of a group away, or its base once they are gone. Each copy is
+    /// looked at again, since two versions of a row may stand for each other.
+    fn evict_group(&mut self, e: usize, group: &Group, reason: Reason) {
         for &c in &group.copies {
-            if !self.carries(e, c) {
+            if !self.carries(e, c) && self.removable(e, c, reason) {
                 self.unload(e, c, Reason::Room);
             }
         }
@@ -195,7 +196,7 @@
                 Link::Evict { engine, extra } => {
                     if let Some(groups) = self.victims(engine, need, extra) {
                         for group in groups {
-                            self.evict_group(engine, &group);
+                            self.evict_group(engine, &group, need.reason);
                         }
                         self.world.engines[engine].used_mb += extra;
                     }
--- a/crates/place/src/survey.rs
+++ b/crates/place/src/survey.rs
@@ -7,7 +7,7 @@
     world::{self, Copy, Row, State, World},
 };
 use mulberryrack_core::{Name, Time, request::Priority, upstream::Residency};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Cell {
     /// The world as it is now, for planning.
@@ -44,6 +44,12 @@
             row.base = base.and_then(|base| index.get(base)).copied();
         }
         let mut world = World::new(rows, engines);
+        let target = |names: &BTreeSet<Name>| {
+            let engines = world.engines.iter().enumerate();
+            let chosen = engines.filter(|(_, engine)| names.contains(&engine.name));
+            chosen.map(|(e, _)| e).collect()
+        };
+        world.targets = shared.targets.iter().map(target).collect();
         refresh(&mut world);
         world
     }
--- a/crates/place/src/world.rs
+++ b/crates/place/src/world.rs
@@ -66,6 +66,12 @@
 pub(crate) struct World {
     pub rows: Vec<Row>,
     pub engines: Vec<Engine>,
+    /// Whether loads fill engines up one after another, since spread out they would leave
+    /// no room for the largest rows.
+    pub tight: bool,
+    /// Engines where the lowest numbers of copies of all rows fit together, by row; may be
+    /// empty.
+    pub targets: Vec<Vec<usize>>,
     /// Copies of each row, by engine and position; rebuilt by [`World::index`].
     places: Vec<Vec<(usize, usize)>>,
 }
@@ -135,6 +141,8 @@
         let mut world = Self {
             rows,
             engines,
+            tight: false,
+            targets: Vec::new(),
             places: Vec::new(),
         };
         world.index();
@@ -226,6 +234,13 @@
         self.index();
     }
 
+    /// Whether the row's copies should be on the engine, so that all rows fit.
+    pub fn targets(&self, engine: usize, row: usize) -> bool {
+        self.targets
+            .get(row)
+            .is_some_and(|engines| engines.contains(&engine))
+    }
+
     /// Copies of a row in each data centre.
     pub fn spread(&self, row: usize) -> BTreeMap<usize, u32> {
         let mut spread = BTreeMap::new();
