--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -39,6 +39,13 @@
     Steady,
 }
 
+/// A write whose outcome is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// The revision that the write expects.
+    expected: Option<Revision>,
+}
+
 /// An order on its way.
 #[derive(Clone, Debug, Default)]
 struct Sending {
@@ -72,6 +79,8 @@
     stored: Option<(Record, Option<Revision>)>,
     /// The stored record with what is still to be written.
     draft: Record,
+    /// A write that may take effect for as long as the record has the expected revision.
+    doubtful: Option<Doubt>,
     /// When a former planner's orders were taken over.
     adopted: Time,
     order_lifetime: Duration,
@@ -114,6 +123,7 @@
             phase: Phase::Unread,
             stored: None,
             draft: Record::default(),
+            doubtful: None,
             adopted: now,
             order_lifetime: settings.order_lifetime,
             planner_lifetime: settings.planner_lifetime,
@@ -405,7 +415,7 @@
             Phase::Steady => {
                 let (stored, _) = self.stored.as_ref()?;
                 let fresh = self.draft.intents.len() > self.confirmed().count();
-                if fresh || stored.term != term {
+                if fresh || stored.term != term || self.doubtful.is_some() {
                     return Some(self.retry_after);
                 }
                 let tidy = stored.intents != self.draft.intents;
@@ -420,6 +430,7 @@
             self.phase = Phase::Unread;
             return;
         };
+        self.doubtful = None;
         let known: BTreeSet<u64> = self.confirmed().map(|intent| intent.id).collect();
         self.stored = Some((record, Some(revision)));
         let fresh: Vec<(u64, bool)> = self
@@ -453,6 +464,10 @@
     /// The call's outcome is not known: the record must be read.
     pub fn unsure(&mut self, now: Time) {
         self.retry_after = now + WRITE_AGAIN;
+        if matches!(self.phase, Phase::Busy(Some(_))) {
+            let expected = self.stored.as_ref().and_then(|(_, revision)| *revision);
+            self.doubtful = Some(Doubt { expected });
+        }
         self.phase = Phase::Unread;
     }
 
@@ -475,6 +490,8 @@
                 self.sends.entry(intent.id).or_default().next = now + s.unroute;
             }
         }
+        let revision = entry.map(|entry| entry.revision);
+        self.doubtful = self.doubtful.filter(|doubt| doubt.expected == revision);
         self.draft = record.clone();
         self.draft.term = term;
         self.stored = Some((record, entry.map(|entry| entry.revision)));
@@ -489,54 +506,55 @@
         true
     }
 
-    /// Orders that are due, each with what `judge` says of it.
-    pub fn due(
-        &mut self,
-        now: Time,
-        term: u64,
-        settings: &Settings,
-        judge: impl Fn(&Engine, &Intent) -> Verdict,
-    ) -> Vec<Order> {
+    /// Recorded orders that may have to be sent now; with `recheck` also unloads that were
+    /// sent and may no longer be wanted.
+    pub fn due(&mut self, now: Time, recheck: bool) -> Vec<Intent> {
+        self.strike(now);
         let life = self.draft.life;
-        let open: Vec<Intent> = self
-            .confirmed()
+        self.confirmed()
             .filter(|intent| intent.open(life) && !self.under_way(intent))
+            .filter(|intent| {
+                let sending = self.sends.get(&intent.id);
+                let revocable =
+                    sending.is_some_and(|s| s.sent && !s.cancelled) && intent.unload().is_some();
+                sending.is_none_or(|s| s.is_due(now)) || (recheck && revocable)
+            })
             .cloned()
-            .collect();
-        self.strike(now);
-        let mut orders = Vec::new();
-        for intent in open {
-            let sending = self.sends.get(&intent.id).cloned().unwrap_or_default();
-            // An unload that is no longer wanted is overtaken, not waited for.
-            let wanted = sending.sent && !sending.cancelled && intent.unload().is_some();
-            if !sending.is_due(now) && !wanted {
-                continue;
-            }
-            let verdict = judge(self, &intent);
-            let cancel = verdict == Verdict::Cancel;
-            if verdict == Verdict::Wait || !(cancel || sending.is_due(now)) {
-                continue;
-            }
-            let sending = self.sends.entry(intent.id).or_default();
-            if sending.outstanding.is_some() {
-                sending.uncertain = Some(now + settings.order_lifetime);
-            }
-            sending.cancelled |= cancel;
-            sending.sent |= !sending.cancelled;
-            sending.outstanding = Some(now);
-            sending.next = now + settings.resend;
-            let action = if sending.cancelled {
-                nothing(&intent.action)
-            } else {
-                intent.action.clone()
-            };
-            orders.push(Order {
-                id: intent.id,
-                fence: term,
-                action,
-            });
+            .collect()
+    }
+
+    /// The order for an intent by what was judged of it. An unload that is no longer
+    /// wanted is overtaken at once, not at its resend time.
+    pub fn order(
+        &mut self,
+        now: Time,
+        term: u64,
+        intent: &Intent,
+        verdict: Verdict,
+        resend: Duration,
+    ) -> Option<Order> {
+        let sending = self.sends.entry(intent.id).or_default();
+        let cancel = verdict == Verdict::Cancel;
+        if verdict == Verdict::Wait || !(cancel || sending.is_due(now)) {
+            return None;
+        }
+        if sending.outstanding.is_some() {
+            sending.uncertain = Some(now + self.order_lifetime);
         }
-        orders
+        sending.cancelled |= cancel;
+        sending.sent |= !sending.cancelled;
+        sending.outstanding = Some(now);
+        sending.next = now + resend;
+        let action = if sending.cancelled {
+            nothing(&intent.action)
+        } else {
+            intent.action.clone()
+        };
+        Some(Order {
+            id: intent.id,
+            fence: term,
+            action,
+        })
     }
 
     /// Whether the engine shows that it is carrying the order out.
@@ -553,7 +571,9 @@
     /// Whether every host can know by now that new requests may go to the copy.
     pub fn known_routable(&self, now: Time, row: &Name, version: &Name, spread: Duration) -> bool {
         let since = self.routes.get(&(row.clone(), version.clone()));
-        since.is_some_and(|since| now.since(*since) >= spread)
+        self.doubtful.is_none()
+            && !self.draft.unloads(row, version)
+            && since.is_some_and(|since| now.since(*since) >= spread)
     }
 
     /// The spread value, if it differs from what was published last.
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -10,6 +10,9 @@
 /// Most rows that are tried in vain in one call.
 const MAX_FAILURES: u32 = 32;
 
+/// Most worlds that are tried for chains of moves in one call.
+const MAX_TRIALS: u32 = 64;
+
 /// What a call may do.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limits {
@@ -44,6 +47,8 @@
     pub world: &'a mut World,
     pub limits: Limits,
     pub steps: Vec<Step>,
+    /// Worlds that may still be tried for chains of moves.
+    pub trials: u32,
 }
 
 /// Takes the next steps in `world`, which is left as if they were pending.
@@ -52,9 +57,11 @@
         world,
         limits,
         steps: Vec::new(),
+        trials: MAX_TRIALS,
     };
     plan.retire();
     plan.supply();
+    plan.trim();
     plan.steps
 }
 
@@ -117,11 +124,38 @@
         if !row.listed {
             return Some(Reason::Removed);
         }
-        let ready = self.world.ready(copy.row, true);
-        if !copy.current {
-            return (ready >= row.min.max(1)).then_some(Reason::OldVersion);
+        let enough = self.world.ready(copy.row, true) >= row.min.max(1);
+        let spare = self.world.ready(copy.row, false) > self.target(copy.row);
+        (!copy.current && (enough || spare)).then_some(Reason::OldVersion)
+    }
+
+    /// Unloads copies beyond the highest number; not while a row lacks copies, since a
+    /// chain of moves has a copy at both ends for a time.
+    fn trim(&mut self) {
+        let lacking = |need: &Need| need.reason != Reason::Demand;
+        if (0..self.world.rows.len()).any(|row| self.need(row).as_ref().is_some_and(lacking)) {
+            return;
+        }
+        for e in 0..self.world.engines.len() {
+            for c in 0..self.world.engines[e].copies.len() {
+                let copy = &self.world.engines[e].copies[c];
+                let row = &self.world.rows[copy.row];
+                let most = row.max.max(row.min).max(1);
+                let spare = self.world.ready(copy.row, true) > most;
+                let open = self.world.engines[e].open && copy.state == State::Ready;
+                if open && copy.current && spare && !self.carries(e, c) {
+                    self.unload(e, c, Reason::Surplus);
+                }
+            }
         }
-        (ready > row.max.max(row.min).max(1)).then_some(Reason::Surplus)
+    }
+
+    /// Copies that the row should have by its lowest number and its load.
+    fn target(&self, row: usize) -> u32 {
+        let row = &self.world.rows[row];
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let wanted = (row.load / self.limits.copy_load).ceil() as u32;
+        wanted.min(row.max).max(row.min).max(1)
     }
 
     /// Whether adapters on the engine stand on this copy alone.
@@ -263,6 +297,7 @@
                     let centre = self.world.engines[e].data_centre;
                     (
                         !self.replaces_base(e, need.row),
+                        need.reason != Reason::Demand && !self.world.targets(e, need.row),
                         spread.get(&centre).copied().unwrap_or(0),
                     )
                 };
@@ -271,6 +306,9 @@
                     .engine_load(a)
                     .total_cmp(&self.world.engine_load(b));
                 let free = self.world.free_mb(b).cmp(&self.world.free_mb(a));
+                if self.world.tight {
+                    return free.reverse().then(a.cmp(&b));
+                }
                 near(a).cmp(&near(b)).then(load).then(free)
             })
     }
--- a/crates/place/src/room.rs
+++ b/crates/place/src/room.rs
@@ -52,7 +52,7 @@
             return Search::Failed;
         }
         for group in groups {
-            self.evict_group(e, &group);
+            self.evict_group(e, &group, need.reason);
         }
         self.world.engines[e].used_mb += extra;
         Search::Under
@@ -141,7 +141,7 @@
         if copy.current {
             ready > floor
         } else {
-            !row.listed || ready >= 1
+            !row.listed || ready >= 1 || self.world.ready(copy.row, false) > floor
         }
     }
 
@@ -154,10 +154,11 @@
         self.relief(copy.row, others)
     }
 
-    /// Orders the adapters of a group away, or its base once they are gone.
-    fn evict_group(&mut self, e: usize, group: &Group) {
+    /// Orders the adapters of a group away, or its base once they are gone. Each copy is
+    /// looked at again, since two versions of a row may stand for each other.
+    fn evict_group(&mut self, e: usize, group: &Group, reason: Reason) {
         for &c in &group.copies {
-            if !self.carries(e, c) {
+            if !self.carries(e, c) && self.removable(e, c, reason) {
                 self.unload(e, c, Reason::Room);
             }
         }
@@ -170,6 +171,10 @@
             .collect();
         engines.sort_by_key(|&e| (extra.saturating_sub(self.world.free_mb(e)), e));
         for e in engines {
+            if self.trials == 0 {
+                break;
+            }
+            self.trials -= 1;
             let mut trial = self.world.clone();
             let short = extra.saturating_sub(self.world.free_mb(e));
             if let Some(links) = self.clear(&mut trial, e, short, CHAIN_DEPTH, need) {
@@ -191,7 +196,7 @@
                 Link::Evict { engine, extra } => {
                     if let Some(groups) = self.victims(engine, need, extra) {
                         for group in groups {
-                            self.evict_group(engine, &group);
+                            self.evict_group(engine, &group, need.reason);
                         }
                         self.world.engines[engine].used_mb += extra;
                     }
@@ -202,7 +207,7 @@
 
     /// Finds moves after which `short` megabytes of the engine can be freed.
     fn clear(
-        &self,
+        &mut self,
         trial: &mut World,
         e: usize,
         short: u64,
@@ -233,7 +238,7 @@
 
     /// Makes room on another engine for a row that is to move there later.
     fn clear_target(
-        &self,
+        &mut self,
         trial: &mut World,
         from: usize,
         row: usize,
@@ -246,6 +251,10 @@
         let extra = trial.rows[row].memory_mb;
         let engines = (0..trial.engines.len()).filter(|&f| f != from && may_take(trial, f, row));
         for f in engines.collect::<Vec<_>>() {
+            if self.trials == 0 {
+                return None;
+            }
+            self.trials -= 1;
             let mut deeper = trial.clone();
             let short = extra.saturating_sub(deeper.free_mb(f));
             let Some(mut links) = self.clear(&mut deeper, f, short, depth - 1, need) else {
@@ -291,7 +300,10 @@
         State::Coming => false,
         State::Ready if holds_adapters(world, e, copy.row) => false,
         State::Ready if copy.current => world.have(copy.row) > row.min.max(1),
-        State::Ready => !row.listed || world.have(copy.row) >= 1,
+        State::Ready => {
+            let spare = world.ready(copy.row, false) > row.min.max(1);
+            !row.listed || world.have(copy.row) >= 1 || spare
+        }
     }
 }
 
