--- a/crates/route/src/answer.rs
+++ b/crates/route/src/answer.rs
@@ -4,6 +4,7 @@
     Output, Router,
     arrive::COME_BACK,
     life::{Event, Head, Life, Stage},
+    retry::DISTRUST,
 };
 use bytes::Bytes;
 use mulberryrack_core::{
@@ -82,6 +83,8 @@
         let winner = life.runs.swap_remove(index);
         let losers = std::mem::replace(&mut life.runs, vec![winner]);
         for run in losers {
+            // Its connection may have gone silent.
+            self.upstreams.get_mut(run.upstream).distrust = now + DISTRUST;
             self.stop_run(now, run.attempt, run.upstream, true, out);
         }
     }
@@ -244,7 +247,8 @@
                     first - life.arrived <= row.line.first_token
                         && (now - first) / gaps <= row.line.token_gap
                 };
-                row.figures.ran(now - run.started, attained);
+                row.figures
+                    .ran(now - run.started, first - run.started, attained);
             }
             Outcome::NotRun(_) | Outcome::Unknown(_) => row.figures.missed(false),
         }
--- a/crates/route/src/arrive.rs
+++ b/crates/route/src/arrive.rs
@@ -8,15 +8,18 @@
     upstreams::Health,
 };
 use mulberryrack_core::{
-    Time,
+    Name, Time,
     caller::Answer,
     hash::{fingerprint, stable},
     note::Counter,
     outcome::{Outcome, Reason, Refusal},
-    request::{Key, Request},
+    request::{Key, Priority, Request},
 };
 use mulberryrack_table::Kind;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
+
+/// Header by which engines learn a request's priority.
+const PRIORITY: &str = "x-priority";
 
 /// Time after which a refused caller may come back, where nothing better is known.
 pub(crate) const COME_BACK: Duration = Duration::from_secs(1);
@@ -48,6 +51,13 @@
     fingerprint(&text)
 }
 
+/// The headers with the row's priority for the engine, whatever the caller set.
+fn with_priority(headers: &[(Name, Name)], priority: Priority) -> Arc<[(Name, Name)]> {
+    let own = (PRIORITY.into(), priority.label().into());
+    let others = headers.iter().filter(|(name, _)| &**name != PRIORITY);
+    others.cloned().chain([own]).collect()
+}
+
 /// Hash of target and idempotency key, by which the ledger knows a request.
 fn claim_id(request: &Request, idempotency: &str) -> u128 {
     let seed = stable(request.target.as_bytes(), 0);
@@ -88,7 +98,7 @@
         Ok(row)
     }
 
-    fn begin(&mut self, now: Time, request: Request, id: RowId, out: &mut Vec<Output>) {
+    fn begin(&mut self, now: Time, mut request: Request, id: RowId, out: &mut Vec<Output>) {
         let key = request.key;
         let row = self.rows.get_mut(id);
         row.figures.arrived += 1;
@@ -99,12 +109,17 @@
             (false, None) => Safety::Single,
         };
         let resumable = row.line.kind != Kind::Service;
+        let deadline = request.deadline.min(now + self.settings.request);
+        if resumable {
+            request.call.headers = with_priority(&request.call.headers, row.line.priority);
+        }
         let mut life = Life {
             row: id,
             safety,
             stage: Stage::Waiting,
             arrived: now,
-            deadline: request.deadline.min(now + self.settings.request),
+            deadline,
+            target: deadline.min(now + row.line.first_token),
             fingerprint: print_of(&request),
             resumable,
             caller: true,
@@ -147,6 +162,7 @@
     /// Puts a request into its row's queue, or refuses it.
     pub(crate) fn admit(&mut self, now: Time, key: Key, out: &mut Vec<Output>) {
         self.mark_suspect(key);
+        self.make_room(now, key, out);
         if let Err(refusal) = self.admissible(now, key) {
             let outcome = self.lives[&key].refused(refusal);
             self.finish(now, key, outcome, out);
@@ -156,6 +172,19 @@
         self.arm(now, key);
     }
 
+    /// Gives up a late request of a full queue for one that can still be on time.
+    fn make_room(&mut self, now: Time, key: Key, out: &mut Vec<Output>) {
+        let id = self.lives[&key].row;
+        let queue = &self.rows.get(id).queue;
+        if queue.len() < self.settings.queue {
+            return;
+        }
+        if let Some(late) = queue.least_hopeful() {
+            let outcome = self.lives[&late].refused(self.come_back(id, Reason::Overload));
+            self.finish(now, late, outcome, out);
+        }
+    }
+
     fn admissible(&self, now: Time, key: Key) -> Result<(), Refusal> {
         let life = &self.lives[&key];
         let row = self.rows.get(life.row);
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -4,11 +4,13 @@
     Output, Router,
     choose::{Wish, choose},
     life::{Run, Safety, Stage},
+    queue::Place,
     row::RowId,
     upstreams::UpstreamId,
 };
 use mulberryrack_core::{
     Time,
+    outcome::Reason,
     request::{Key, Request},
     upstream::{Attempt, Connection, Send},
 };
@@ -31,7 +33,8 @@
     pub(crate) fn enqueue(&mut self, now: Time, key: Key) {
         let life = self.lives.get_mut(&key).expect("a known request");
         life.stage = Stage::Waiting;
-        let (id, deadline) = (life.row, life.deadline);
+        let id = life.row;
+        let place = self.place(key);
         let row = self.rows.get(id);
         if row.queue.is_empty() {
             let clock = row
@@ -44,16 +47,20 @@
             let clock = if clock.is_finite() { clock } else { 0.0 };
             self.rows.get_mut(id).queue.enter(clock);
         }
-        self.rows.get_mut(id).queue.push(deadline, key);
+        self.rows.get_mut(id).queue.push(place);
         self.waiting += 1;
         self.ready.insert(id);
         self.watch(now, id);
     }
 
+    /// A request's place in its row's queue; the same for as long as it waits.
+    fn place(&self, key: Key) -> Place {
+        self.lives[&key].place()
+    }
+
     pub(crate) fn dequeue(&mut self, key: Key) {
-        let life = &self.lives[&key];
-        let (id, deadline) = (life.row, life.deadline);
-        if self.rows.get_mut(id).queue.remove(deadline, key) {
+        let (id, place) = (self.lives[&key].row, self.place(key));
+        if self.rows.get_mut(id).queue.remove(place) {
             self.waiting -= 1;
         }
     }
@@ -105,6 +112,7 @@
         freed: Option<UpstreamId>,
         out: &mut Vec<Output>,
     ) -> bool {
+        self.sort_out(now, id, out);
         let keys: Vec<_> = self.rows.get(id).queue.keys().take(LOOKS).collect();
         for key in keys {
             if self.lives[&key].hold > now {
@@ -129,6 +137,26 @@
         false
     }
 
+    /// Moves requests that miss their target from now on behind the others; those that
+    /// will not run by their deadline there are refused at once.
+    fn sort_out(&mut self, now: Time, id: RowId, out: &mut Vec<Output>) {
+        loop {
+            let row = self.rows.get(id);
+            let first = row.figures.first_byte();
+            let Some(key) = row.queue.missed(now + first) else {
+                return;
+            };
+            let place = self.place(key);
+            let row = self.rows.get_mut(id);
+            row.queue.make_late(place);
+            let wait = row.figures.wait(row.queue.len() - 1).unwrap_or_default();
+            if now + wait + row.figures.least_run() > place.deadline {
+                let outcome = self.lives[&key].refused(self.come_back(id, Reason::Deadline));
+                self.finish(now, key, outcome, out);
+            }
+        }
+    }
+
     /// Lets a request use upstreams again that failed it, once all have; a suspect
     /// never gets back to one that crashed.
     fn pardon(&mut self, key: Key) {
--- a/crates/route/src/life.rs
+++ b/crates/route/src/life.rs
@@ -18,7 +18,9 @@
 //!   the caller has been given nothing: another run gives another text, and two texts
 //!   are never joined.
 
-use crate::{isolate::Isolation, row::RowId, settings::Settings, upstreams::UpstreamId};
+use crate::{
+    isolate::Isolation, queue::Place, row::RowId, settings::Settings, upstreams::UpstreamId,
+};
 use bytes::Bytes;
 use mulberryrack_core::{
     Name, Time,
@@ -139,6 +141,8 @@
     pub arrived: Time,
     /// Earlier of the caller's deadline and the longest life.
     pub deadline: Time,
+    /// When the first byte is due by the row's target.
+    pub target: Time,
     /// Stands for target and call, not for the caller.
     pub fingerprint: u128,
     /// Whether the upstream is a model engine.
@@ -345,6 +349,15 @@
         self.runs.iter().position(|run| run.attempt == attempt)
     }
 
+    /// Its place in its row's queue.
+    pub fn place(&self) -> Place {
+        Place {
+            key: self.request.key,
+            deadline: self.deadline,
+            target: self.target,
+        }
+    }
+
     /// Bytes of the request that count against the host's bound.
     pub fn bytes(&self) -> usize {
         let body: &Bytes = &self.request.call.body;
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -20,7 +20,7 @@
 const CONFIRM: Duration = Duration::from_millis(250);
 
 /// Time after silence during which an upstream's pooled connections are not used.
-const DISTRUST: Duration = Duration::from_secs(30);
+pub(crate) const DISTRUST: Duration = Duration::from_secs(30);
 
 /// Most doublings of the pause between attempts.
 const DOUBLINGS: u32 = 6;
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -50,6 +50,8 @@
     pub attained: Option<f64>,
     /// Time from dispatch to the end.
     pub service: Option<f64>,
+    /// Time from dispatch to the first byte, in seconds.
+    pub first: Option<f64>,
     /// Shortest recent time from dispatch to the end, in seconds.
     pub fastest: Option<f64>,
     /// Time between two dispatches while others waited, in seconds.
@@ -63,8 +65,9 @@
 }
 
 impl Figures {
-    /// Takes the length of a run that ended well.
-    pub fn ran(&mut self, span: Duration, attained: bool) {
+    /// Takes the length of a run that ended well, and the time to its first byte.
+    pub fn ran(&mut self, span: Duration, first: Duration, attained: bool) {
+        self.first = Some(smooth(self.first, first.as_secs_f64()));
         let sample = span.as_secs_f64();
         self.service = Some(smooth(self.service, sample));
         self.fastest = Some(
@@ -95,6 +98,11 @@
         Duration::from_secs_f64(self.fastest.unwrap_or(0.0) / 2.0)
     }
 
+    /// The usual time from dispatch to the first byte.
+    pub fn first_byte(&self) -> Duration {
+        Duration::from_secs_f64(self.first.unwrap_or(0.0))
+    }
+
     /// The wait behind `ahead` others, if it can be told.
     pub fn wait(&self, ahead: usize) -> Option<Duration> {
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
--- a/crates/route/src/upstreams.rs
+++ b/crates/route/src/upstreams.rs
@@ -154,7 +154,8 @@
             return u32::MAX;
         }
         let share = match priority {
-            Priority::Urgent => 1.0,
+            // A few may wait at the upstream, which serves them first.
+            Priority::Urgent => 1.0 + settings.urgent_reserve,
             Priority::Normal | Priority::Bulk => 1.0 - settings.urgent_reserve,
         };
         let limit = f64::from(self.slots) * share * self.ramp(settings, now);
--- a/crates/route/tests/permits.rs
+++ b/crates/route/tests/permits.rs
@@ -4,11 +4,13 @@
 
 use common::{World, ms, row};
 use mulberryrack_core::{
+    Incarnation, Name, Time,
     outcome::{Outcome, Reason},
     view::Standing,
 };
-use mulberryrack_route::Input;
+use mulberryrack_route::{Input, Output, Router, Settings};
 use mulberryrack_table::Kind;
+use mulberryrack_wire::route::{Allow, Frame, Held, Survey, frame::Body};
 use rand::RngExt;
 
 fn world(seed: u64, hosts: usize, ceiling: u32) -> World {
@@ -241,3 +243,74 @@
     world.run(ms(3_000));
     assert_eq!(world.most["alpha"], 4);
 }
+
+/// A router alone, as a borrower; frames go in by hand.
+struct Borrower(Router);
+
+impl Borrower {
+    fn take(&mut self, from: &str, body: Body) -> Vec<Output> {
+        let mut out = Vec::new();
+        let input = Input::Frame {
+            from: Name::from(from),
+            incarnation: Incarnation(1),
+            frame: Frame { body: Some(body) },
+        };
+        self.0.handle(Time::from_millis(1), input, &mut out);
+        out
+    }
+
+    fn survey(&mut self, from: &str, term: u64) -> Held {
+        let row = "alpha".into();
+        let out = self.take(from, Body::Survey(Survey { row, term }));
+        let held = out.into_iter().find_map(|output| match output {
+            Output::Frame { frame, .. } => match frame.body {
+                Some(Body::Held(held)) => Some(held),
+                _ => None,
+            },
+            _ => None,
+        });
+        held.expect("a survey is answered")
+    }
+
+    fn allow(&mut self, from: &str, term: u64, sequence: u64, allowance: u32) {
+        let allow = Allow {
+            row: "alpha".into(),
+            term,
+            sequence,
+            allowance,
+        };
+        self.take(from, Body::Allow(allow));
+    }
+}
+
+#[test]
+fn loans_come_from_the_newest_lender_in_order_only() {
+    let router = Router::new(
+        Settings::default(),
+        "host-0".into(),
+        Incarnation(1),
+        "hall-0".into(),
+        1,
+        Time::ZERO,
+    );
+    let mut borrower = Borrower(router);
+    let table = world(1, 1, 9).table.clone();
+    let mut out = Vec::new();
+    borrower.0.handle(Time::ZERO, Input::Table(table), &mut out);
+
+    borrower.allow("host-1", 5, 1, 9);
+    assert_eq!(borrower.survey("host-1", 5).allowance, 0, "from no lender");
+    borrower.allow("host-1", 5, 2, 3);
+    borrower.allow("host-1", 5, 1, 9);
+    assert_eq!(borrower.survey("host-1", 5).allowance, 3, "an older loan");
+
+    let refused = borrower.survey("host-2", 4);
+    assert_eq!((refused.accepted, refused.term), (false, 5));
+    let same = borrower.survey("host-2", 5);
+    assert!(!same.accepted, "two lenders in one term");
+    borrower.allow("host-2", 5, 7, 9);
+    assert!(borrower.survey("host-2", 6).accepted);
+    borrower.allow("host-1", 5, 8, 9);
+    borrower.allow("host-2", 5, 8, 9);
+    assert_eq!(borrower.survey("host-2", 6).allowance, 3, "a former term");
+}
