Route: suspicions merged once a change, not once a request

Cause: a request looked through what every host had published; with 1,400 hosts that is a cost of the fleet in each decision. The same held for the check that the view has every listed host, made at each loan.

Change: both are kept up to date when a value, view or list comes.

--- a/crates/route/src/permit.rs
+++ b/crates/route/src/permit.rs
@@ -375,11 +375,10 @@
 
     /// Whether the view of the hosts is whole enough to lend by.
     fn settled(&self, now: Time) -> bool {
-        let Some(listed) = &self.listed_hosts else {
+        if self.listed_hosts.is_none() {
             return now >= self.started + self.settings.permit_settle * UNLISTED_SETTLE;
-        };
-        now >= self.started + self.settings.permit_settle
-            && listed.iter().all(|host| self.view.peer(host).is_some())
+        }
+        now >= self.started + self.settings.permit_settle && self.view_whole
     }
 
     /// Lends what is left to those who want it, or asks for permits back.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -66,6 +66,8 @@
     pub(crate) view: Arc<View>,
     /// Hosts on the platform's list; `None` until it was read.
     pub(crate) listed_hosts: Option<BTreeSet<Name>>,
+    /// Whether the view has every listed host.
+    pub(crate) view_whole: bool,
     pub(crate) leaving: bool,
     pub(crate) rows: Rows,
     pub(crate) upstreams: Upstreams,
@@ -113,6 +115,7 @@
             table: None,
             view: Arc::default(),
             listed_hosts: None,
+            view_whole: false,
             leaving: false,
             rows: Rows::default(),
             upstreams: Upstreams::default(),
@@ -258,6 +261,7 @@
 
     fn on_view(&mut self, now: Time, view: Arc<View>, out: &mut Vec<Output>) {
         self.view = view;
+        self.compare_view();
         self.follow_view(now, out);
         self.review_permits(now, out);
     }
@@ -298,6 +302,7 @@
                 .map(|line| line.name.clone())
                 .collect(),
         );
+        self.compare_view();
         let mut gone = self.services.clone();
         for line in listing {
             let id = match line.role {
@@ -328,6 +333,11 @@
         self.review_permits(now, out);
     }
 
+    fn compare_view(&mut self) {
+        let mut listed = self.listed_hosts.iter().flatten();
+        self.view_whole = listed.all(|host| self.view.peer(host).is_some());
+    }
+
     /// Rows of the table that are routable on an upstream.
     fn routable(&self, id: UpstreamId) -> Vec<RowId> {
         let find = |name: &str, service: bool| {
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -33,50 +33,65 @@
     at: Time,
 }
 
+impl Entry {
+    fn new(at: Time) -> Self {
+        Self {
+            crashes: BTreeSet::new(),
+            cleared: BTreeSet::new(),
+            at,
+        }
+    }
+}
+
 /// What this host and the others hold against fingerprints.
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
     own: BTreeMap<u128, Entry>,
     heard: BTreeMap<Name, (u64, BTreeMap<u128, Entry>)>,
+    /// Invariant: all of `own` and `heard`, without the crashes that were cleared.
+    effective: BTreeMap<u128, Entry>,
     /// Values published by this host.
     published: u64,
 }
 
 impl Suspects {
     /// The crashes that count against a fingerprint.
-    fn crashes(&self, print: u128) -> BTreeSet<&Event> {
-        let entries = || {
-            self.heard
-                .values()
-                .map(|(_, entries)| entries)
-                .chain([&self.own])
-                .filter_map(move |entries| entries.get(&print))
-        };
-        let cleared: BTreeSet<_> = entries().flat_map(|entry| &entry.cleared).collect();
-        entries()
+    fn crashes(&self, print: u128) -> impl Iterator<Item = &Event> {
+        self.effective
+            .get(&print)
+            .into_iter()
             .flat_map(|entry| &entry.crashes)
-            .filter(|crash| !cleared.contains(crash))
-            .collect()
-    }
-
-    fn is_empty(&self) -> bool {
-        self.own.is_empty() && self.heard.values().all(|(_, entries)| entries.is_empty())
     }
 
     /// Whether a fingerprint is refused.
     pub fn refused(&self, print: u128, settings: &Settings) -> bool {
-        !self.is_empty() && self.crashes(print).len() >= settings.suspect_crashes as usize
+        self.crashes(print).count() >= settings.suspect_crashes as usize
     }
 
     /// Time after which the newest suspicion has gone, as far as is known here.
     pub fn remaining(&self, print: u128, now: Time, settings: &Settings) -> Option<Duration> {
-        self.heard
-            .values()
-            .map(|(_, entries)| entries)
-            .chain([&self.own])
-            .filter_map(|entries| entries.get(&print))
+        self.effective
+            .get(&print)
             .map(|entry| (entry.at + settings.suspect) - now)
-            .max()
+    }
+
+    /// Brings the merged entries up to date, so that requests need not look at each
+    /// host's.
+    fn merge(&mut self) {
+        let mut merged: BTreeMap<u128, Entry> = BTreeMap::new();
+        let heard = self.heard.values().map(|(_, entries)| entries);
+        for (print, entry) in heard.chain([&self.own]).flatten() {
+            let sum = merged.entry(*print).or_insert_with(|| Entry::new(entry.at));
+            sum.crashes.extend(entry.crashes.iter().cloned());
+            sum.cleared.extend(entry.cleared.iter().cloned());
+            sum.at = sum.at.max(entry.at);
+        }
+        for entry in merged.values_mut() {
+            let cleared = std::mem::take(&mut entry.cleared);
+            entry.crashes.retain(|crash| !cleared.contains(crash));
+        }
+        merged.retain(|_, entry| !entry.crashes.is_empty());
+        self.effective = merged;
     }
 
     fn forget_old(&mut self, now: Time, settings: &Settings) {
@@ -90,14 +105,11 @@
             let print = *oldest.expect("longer than the bound").0;
             self.own.remove(&print);
         }
+        self.merge();
     }
 
     fn entry(&mut self, print: u128, now: Time) -> &mut Entry {
-        let entry = self.own.entry(print).or_insert(Entry {
-            crashes: BTreeSet::new(),
-            cleared: BTreeSet::new(),
-            at: now,
-        });
+        let entry = self.own.entry(print).or_insert_with(|| Entry::new(now));
         entry.at = now;
         entry
     }
@@ -143,11 +155,11 @@
     /// Marks a request as a suspect if its fingerprint is one: it then keeps away from
     /// the upstreams that crashed and runs beside no other suspect.
     pub(crate) fn mark_suspect(&mut self, key: Key) {
-        if self.suspects.is_empty() {
+        if self.suspects.effective.is_empty() {
             return;
         }
         let life = self.lives.get_mut(&key).expect("a known request");
-        let crashes = self.suspects.crashes(life.fingerprint);
+        let crashes: Vec<_> = self.suspects.crashes(life.fingerprint).collect();
         life.suspect = !crashes.is_empty();
         let avoided: Vec<_> = crashes
             .iter()
@@ -294,6 +306,7 @@
         self.suspects
             .heard
             .insert(host.into(), (value.version, entries));
+        self.suspects.merge();
         self.timers
             .insert((now + self.settings.suspect, Timer::Suspect));
         let waiting: Vec<_> = self
@@ -309,8 +322,9 @@
 
     /// Clears a fingerprint that ran to its end of the crashes held against it.
     pub(crate) fn clear_suspect(&mut self, now: Time, print: u128, out: &mut Vec<Output>) {
-        let crashes: Vec<_> = self.suspects.crashes(print).into_iter().cloned().collect();
+        let crashes: Vec<_> = self.suspects.crashes(print).cloned().collect();
         self.suspects.entry(print, now).cleared.extend(crashes);
+        self.suspects.merge();
         self.publish_suspects(now, out);
     }
 
--- a/crates/route/tests/permits.rs
+++ b/crates/route/tests/permits.rs
@@ -223,6 +223,28 @@
     assert!(world.most.get("alpha").is_none_or(|most| *most <= 2));
 }
 
+#[test]
+fn loans_that_were_lost_on_the_way_are_not_lost_for_good() {
+    for seed in 0..10 {
+        let mut world = world(seed, 3, 4);
+        world.loss = 60;
+        for step in 0..150 {
+            world.ask(step % 3, "alpha", &format!("alpha {step}"));
+            world.run(ms(20));
+        }
+        world.loss = 0;
+        world.run(ms(12_000));
+        for host in 0..3 {
+            world.most.clear();
+            for index in 0..30 {
+                world.ask(host, "alpha", &format!("alpha {host} {index}"));
+            }
+            world.run(ms(4_000));
+            assert_eq!(world.most["alpha"], 4, "seed {seed}, host {host}");
+        }
+    }
+}
+
 #[test]
 fn a_leaving_host_gives_its_permits_back() {
     let mut world = world(9, 2, 4);
--- a/crates/route/tests/suspect.rs
+++ b/crates/route/tests/suspect.rs
@@ -161,3 +161,20 @@
     run(&mut world, 5_000);
     world.check_whole(again);
 }
+
+#[test]
+fn a_resend_of_a_suspect_keeps_away_from_the_upstream_that_crashed() {
+    for seed in 0..20 {
+        let mut world = world(seed);
+        world.ask(0, "draft", "draft unlucky");
+        world.run(ms(10));
+        let name = world.sends.last().unwrap().3.clone();
+        world.crash(&name);
+        run(&mut world, 4_000);
+        world.sends.clear();
+        let id = world.ask(1, "draft", "draft unlucky");
+        world.run(ms(1_000));
+        world.check_whole(id);
+        assert_ne!(world.sends.last().unwrap().3, name, "seed {seed}");
+    }
+}
