--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -89,7 +89,7 @@
                 config.limits.max_requests * 2,
             ),
             contact: contact::Client::new(inbox.clone(), CONTACTS),
-            platform: platform::Client::new(inbox.clone(), &config.platform),
+            platform: platform::Client::new(inbox.clone(), &config.platform, &identity.name),
             peer: peer::Client::new(
                 inbox.clone(),
                 runtime.handle().clone(),
@@ -175,7 +175,7 @@
 fn spawn_driver(start: Start, outlet: Outlet, adapters: Adapters) -> io::Result<JoinHandle<()>> {
     thread::Builder::new()
         .name("host".to_owned())
-        .spawn(move || driver::run(start, &outlet, &adapters))
+        .spawn(move || driver::run(start, outlet, &adapters))
 }
 
 fn bind(address: &str) -> io::Result<TcpListener> {
