--- a/crates/route/src/arrive.rs
+++ b/crates/route/src/arrive.rs
@@ -164,6 +164,9 @@
         self.mark_suspect(key);
         self.make_room(now, key, out);
         if let Err(refusal) = self.admissible(now, key) {
+            if refusal.reason == Reason::Suspect {
+                out.push(self.suspect_note(key));
+            }
             let outcome = self.lives[&key].refused(refusal);
             self.finish(now, key, outcome, out);
             return;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,6 +13,7 @@
 mod isolate;
 mod join;
 mod kept;
+mod lender;
 mod life;
 mod permit;
 mod poll;
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect.rs
@@ -169,6 +169,15 @@
         life.avoid.extend(avoided);
     }
 
+    /// The log line by which an operator finds a refused request.
+    pub(crate) fn suspect_note(&self, key: Key) -> Output {
+        let life = &self.lives[&key];
+        let note = Note::new(Level::Warn, "suspect-refused")
+            .with("target", &life.request.target)
+            .with("fingerprint", format_args!("{:032x}", life.fingerprint));
+        Output::Note(note)
+    }
+
     /// Notes that a request's connection broke; a crash may be seen later.
     pub(crate) fn note_broken(
         &mut self,
