Route: every copy of a large row is polled by some host; idle upstreams start anew

Cause: each host polled the first 32 copies of a row, all the same ones, and copies that are not polled get no work. What was known of an upstream that was down outlived the time in which it was not polled, so that the first requests after a quiet hour were refused.

Change: hosts begin at different places in the list, nearby copies first; health is forgotten when polling stops. Both new tests fail without the change to poll.rs and upstreams.rs respectively by construction of their assertions; only the whole change was run.

--- a/crates/route/src/poll.rs
+++ b/crates/route/src/poll.rs
@@ -8,6 +8,7 @@
 };
 use mulberryrack_core::{
     Time,
+    hash::stable,
     note::{Counter, Level, Note},
     upstream::Contact,
 };
@@ -15,6 +16,9 @@
 /// Most copies of a row that are polled by one host.
 const WATCHED_COPIES: usize = 32;
 
+/// Most of these in the host's own data centre.
+const WATCHED_NEAR: usize = 24;
+
 impl Router {
     /// Keeps a row's upstreams polled; cheap when it was done a short while ago.
     pub(crate) fn watch(&mut self, now: Time, id: RowId) {
@@ -33,7 +37,18 @@
     pub(crate) fn watch_copies(&mut self, now: Time, id: RowId) {
         let row = self.rows.get(id);
         let Some(until) = row.watched else { return };
-        let copies: Vec<_> = row.copies.iter().take(WATCHED_COPIES).copied().collect();
+        // Every host begins elsewhere in the list, so that together they use all copies.
+        let start = usize::try_from(stable(self.me.as_bytes(), 0) >> 32).unwrap_or(0);
+        let turned = row
+            .copies
+            .iter()
+            .cycle()
+            .skip(start % row.copies.len().max(1));
+        let (near, far): (Vec<_>, Vec<_>) = turned
+            .take(row.copies.len())
+            .partition(|copy| self.upstreams.get(**copy).data_centre == self.data_centre);
+        let near = near.into_iter().take(WATCHED_NEAR);
+        let copies: Vec<_> = near.chain(far).take(WATCHED_COPIES).copied().collect();
         for copy in copies {
             let upstream = self.upstreams.get_mut(copy);
             upstream.watched = upstream.watched.max(until);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -59,7 +59,7 @@
     pub(crate) settings: Settings,
     pub(crate) me: Name,
     pub(crate) incarnation: Incarnation,
-    data_centre: Name,
+    pub(crate) data_centre: Name,
     pub(crate) started: Time,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) table: Option<Arc<Table>>,
--- a/crates/route/src/upstreams.rs
+++ b/crates/route/src/upstreams.rs
@@ -329,9 +329,8 @@
         self.asked = None;
         self.since = None;
         self.successes = 0;
-        if matches!(self.health, Health::Up | Health::Paused) {
-            self.health = Health::Unknown;
-        }
+        self.failures = 0;
+        self.health = Health::Unknown;
     }
 }
 
--- a/crates/route/tests/health.rs
+++ b/crates/route/tests/health.rs
@@ -180,3 +180,42 @@
     assert_eq!(world.sends.len(), 6);
     assert!((2..=4).contains(&first), "{first} of 6");
 }
+
+#[test]
+fn hosts_together_use_every_copy_of_a_large_service() {
+    let mut world = World::new(8, 9, vec![row("check", Kind::Service)]);
+    for index in 0..100 {
+        world.service(&format!("check-{index}"), 4, "check");
+    }
+    for host in 0..9 {
+        world.ask(host, "check", "check warm-up");
+    }
+    world.run(ms(2_000));
+    for round in 0..40 {
+        for host in 0..9 {
+            world.ask(host, "check", &format!("check {host} {round}"));
+        }
+        world.run(ms(20));
+    }
+    let used = world
+        .upstreams
+        .values()
+        .filter(|fake| !fake.runs.is_empty());
+    assert!(used.count() >= 80);
+}
+
+#[test]
+fn what_was_known_of_an_idle_upstream_is_asked_again() {
+    let mut world = world();
+    world.fake("engine-0").mode = Mode::Down;
+    world.fake("engine-1").mode = Mode::Down;
+    world.run(ms(5_000));
+    // Nobody asks for the row, so that its engines are not polled.
+    world.run(ms(90_000));
+    for name in ["engine-0", "engine-1"] {
+        world.fake(name).mode = Mode::Serving;
+    }
+    let id = world.ask(0, "alpha", "alpha 1");
+    world.run(ms(1_000));
+    world.check_whole(id);
+}
