--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -61,7 +61,12 @@
         world.ask(0, "bulk", &format!("bulk {index}"));
     }
     let ids: Vec<_> = (0..10)
-        .map(|index| world.ask(0, "urgent", &format!("urgent {index}")))
+        .map(|index| {
+            // Long requests: by share alone, the short bulk ones would go first.
+            let mut request = world.request("urgent", &format!("urgent {index}"), ms(10_000));
+            request.answer_tokens = 1_000;
+            world.arrive(0, request)
+        })
         .collect();
     world.run(ms(2_000));
     let last = ids.iter().map(|id| world.told[id].ended.unwrap()).max();
