--- a/crates/tests/src/lib.rs
+++ b/crates/tests/src/lib.rs
@@ -1,4 +1,6 @@
-//! What the integration tests share: daemons with free ports, certificates, files.
+//! What the integration tests share: daemons, certificates, files, a small deployment.
+
+pub mod small;
 
 use mulberryrack_daemon::config::{Config, Tls};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
