Callers: bounds on silence, lengths beyond memory, clients without chunks

Slow senders did not count as requests. - An unreadable length counted as no body, and the call went to the service without one. - HTTP/1.0 clients got chunks; HEAD, 204 and 304 got a last chunk that spoilt the next answer on the connection. - Expect went on to the upstream, which ended in upstream-lost. Change: bounds on reads and writes set on the listener, which accepted sockets inherit ([limits] idle_timeout_ms, write_timeout_ms); refusals on threads of their own, counted; lengths above 64 MiB refused without reading the rest, which leaves that connection open and unread, for the library cannot close it; unclear lengths and upgrades refused; 413 and 408 for bodies too long or too late; TCP_NODELAY for callers. Not tested: descriptors exhausted, a reader that stalls, 204 and 304 of a service.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -6,9 +6,14 @@
     metrics::Metrics,
 };
 use mulberryrack_host::Readiness;
-use std::{io, net::TcpListener, sync::Arc};
+use std::{io, net::TcpListener, sync::Arc, time::Duration};
 use tiny_http::Response;
 
+/// Longest silence of a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Longest wait for a reader to take more of an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Serves `/metrics`, `/livez` and `/readyz` until the process ends.
 ///
 /// # Errors
@@ -20,7 +25,11 @@
     waiting: Arc<Waiting>,
     metrics: Arc<Metrics>,
 ) -> io::Result<()> {
-    listen::serve("admin", listener, move |request| {
+    let bounds = listen::Bounds {
+        idle: IDLE_TIMEOUT,
+        write: WRITE_TIMEOUT,
+    };
+    listen::serve("admin", listener, bounds, move |request| {
         let response = answer(request.url(), &inbox, &waiting, &metrics);
         // Where the reader has gone away there is nobody to tell.
         let _ = request.respond(response);
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -3,7 +3,9 @@
 use crate::{
     config::Limits,
     driver::{Clock, Inbox, Waiting},
-    listen, response, upstream,
+    listen,
+    response::{self, Last},
+    upstream,
 };
 use bytes::Bytes;
 use mulberryrack_core::{
@@ -18,11 +20,14 @@
 use std::{
     io,
     net::TcpListener,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
-use tiny_http::{Header, Method, Response};
+use tiny_http::{HTTPVersion, Header, Method, Response};
 
 const WHERE: &str = "/v1/where/";
 const SERVICES: &str = "/services/";
@@ -50,6 +55,25 @@
     pub clock: Clock,
     /// Bounds.
     pub limits: Limits,
+    /// Requests that have a thread, from their head to the end of their answer.
+    pub serving: Arc<AtomicUsize>,
+}
+
+/// Counts a request as served for as long as it lives.
+struct Serving(Arc<AtomicUsize>);
+
+impl Serving {
+    /// Counts one more; also says how many there are with it.
+    fn new(count: &Arc<AtomicUsize>) -> (Self, usize) {
+        let before = count.fetch_add(1, Ordering::Relaxed);
+        (Self(count.clone()), before + 1)
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Serves callers on a listener until the process ends.
@@ -58,20 +82,32 @@
 ///
 /// The listener cannot be used.
 pub fn serve(listener: TcpListener, edge: Edge) -> io::Result<()> {
-    listen::serve("caller", listener, move |request| start(request, &edge))
+    let bounds = listen::Bounds {
+        idle: edge.limits.idle_timeout,
+        write: edge.limits.write_timeout,
+    };
+    listen::serve("caller", listener, bounds, move |request| {
+        start(request, &edge);
+    })
 }
 
 fn start(request: tiny_http::Request, edge: &Edge) {
-    if edge.waiting.requests() >= edge.limits.max_requests {
-        refuse(request, Reason::Overload, Some(RETRY_OVERLOAD));
-        return;
-    }
+    let (serving, count) = Serving::new(&edge.serving);
+    let overload = count > edge.limits.max_requests;
     let edge = edge.clone();
-    // Without a thread the request is dropped, which closes its connection.
+    // Refusals have threads too: giving one reads the rest of the request, which a slow
+    // sender can delay. Without a thread the request is dropped, which answers it by 500.
     let _ = thread::Builder::new()
         .name("caller".to_owned())
         .stack_size(STACK)
-        .spawn(move || handle(request, &edge));
+        .spawn(move || {
+            let _serving = serving;
+            if overload {
+                refuse(request, Reason::Overload, Some(RETRY_OVERLOAD));
+            } else {
+                handle(request, &edge);
+            }
+        });
 }
 
 fn handle(request: tiny_http::Request, edge: &Edge) {
@@ -115,20 +151,32 @@
         reason,
         retry_after,
     });
-    let mut writer = request.into_writer();
-    let _ = response::last(&mut *writer, &outcome);
+    respond(request, Last::new(&outcome));
 }
 
-fn bad(request: tiny_http::Request, message: &str) {
-    let body = json!({"error": {
-        "message": message,
-        "type": "invalid_request_error",
-        "code": Reason::BadRequest.label(),
-        "param": null,
-    }, "outcome": "not-run"});
-    let outcome = Header::from_bytes("mulberryrack-outcome", "not-run")
-        .expect("a constant header is well formed");
-    let _ = request.respond(json_response(400, &body).with_header(outcome));
+/// Why a request cannot be taken.
+struct Malformed {
+    status: u16,
+    message: String,
+}
+
+impl Malformed {
+    fn new(message: impl Into<String>) -> Self {
+        Self {
+            status: 400,
+            message: message.into(),
+        }
+    }
+}
+
+fn bad(request: tiny_http::Request, malformed: &Malformed) {
+    respond(request, Last::bad(malformed.status, &malformed.message));
+}
+
+/// Answers before the rest of the request has been read, which dropping it does.
+fn respond(request: tiny_http::Request, last: Last) {
+    // Where the caller has gone away there is nobody to tell.
+    let _ = request.respond(last.response());
 }
 
 /// Answers which hosts to use.
@@ -155,11 +203,11 @@
 fn model(mut request: tiny_http::Request, edge: &Edge) {
     let body = match body(&mut request, &edge.limits) {
         Ok(body) => body,
-        Err(message) => return bad(request, &message),
+        Err(malformed) => return bad(request, &malformed),
     };
     let asked = match Completion::read(request.url(), &body) {
         Ok(asked) => asked,
-        Err(malformed) => return bad(request, &malformed.to_string()),
+        Err(malformed) => return bad(request, &Malformed::new(malformed.to_string())),
     };
     let path: Name = request.url().into();
     let (key, answers) = edge.waiting.caller();
@@ -179,7 +227,7 @@
 fn service(mut request: tiny_http::Request, edge: &Edge, target: Name, path: Name) {
     let body = match body(&mut request, &edge.limits) {
         Ok(body) => body,
-        Err(message) => return bad(request, &message),
+        Err(malformed) => return bad(request, &malformed),
     };
     let (key, answers) = edge.waiting.caller();
     let arrived = Request {
@@ -209,13 +257,14 @@
         .is_some_and(|text| text.len() > MAX_KEY)
     {
         edge.waiting.forget(key);
-        return bad(request, "the idempotency key is longer than 256 bytes");
+        let message = format!("the idempotency key is longer than {MAX_KEY} bytes");
+        return bad(request, &Malformed::new(message));
     }
     let allowed = match deadline(&request, &edge.limits) {
         Ok(allowed) => allowed,
         Err(message) => {
             edge.waiting.forget(key);
-            return bad(request, &message);
+            return bad(request, &Malformed::new(message));
         }
     };
     arrived.idempotency = idempotency;
@@ -225,8 +274,12 @@
         edge.waiting.forget(key);
         return refuse(request, Reason::Draining, Some(RETRY_OVERLOAD));
     }
+    let reader = response::Reader {
+        head_only: *request.method() == Method::Head,
+        no_chunks: *request.http_version() < HTTPVersion(1, 1),
+    };
     let mut writer = request.into_writer();
-    match response::stream(&mut *writer, answers) {
+    match response::stream(&mut *writer, answers, reader) {
         Ok(()) => {}
         Err(response::Error::Caller) => {
             edge.inbox.put(Event::Gone(key));
@@ -271,9 +324,41 @@
     }
 }
 
+/// Whether the head says once, and rightly, where the body ends. The library takes a
+/// length that it cannot read as no body at all.
+fn check_length(request: &tiny_http::Request) -> Result<(), Malformed> {
+    let values = |name: &'static str| {
+        let headers = request.headers().iter();
+        headers.filter(move |header| header.field.equiv(name))
+    };
+    let lengths = values("content-length").count();
+    let encodings = values("transfer-encoding").count();
+    let chunked = values("transfer-encoding")
+        .all(|header| header.value.as_str().eq_ignore_ascii_case("chunked"));
+    let read = request.body_length().is_some();
+    if lengths + encodings > 1 || !chunked || (lengths == 1 && !read) {
+        return Err(Malformed::new("the length of the body is not clear"));
+    }
+    if values("connection").any(|header| {
+        let value = header.value.as_str().to_ascii_lowercase();
+        value.contains("upgrade")
+    }) {
+        return Err(Malformed::new("the connection cannot be upgraded"));
+    }
+    Ok(())
+}
+
 /// Reads the whole body within the bounds on size and time.
-fn body(request: &mut tiny_http::Request, limits: &Limits) -> Result<Bytes, String> {
-    let too_long = || format!("the body is longer than {} bytes", limits.max_body_bytes);
+fn body(request: &mut tiny_http::Request, limits: &Limits) -> Result<Bytes, Malformed> {
+    check_length(request)?;
+    let too_long = || Malformed {
+        status: 413,
+        message: format!("the body is longer than {} bytes", limits.max_body_bytes),
+    };
+    let too_late = || Malformed {
+        status: 408,
+        message: "the body was not sent in time".to_owned(),
+    };
     if request
         .body_length()
         .is_some_and(|length| length > limits.max_body_bytes)
@@ -284,10 +369,15 @@
     let mut body = Vec::new();
     let mut part = [0; 16 * 1024];
     loop {
-        let length = request
-            .as_reader()
-            .read(&mut part)
-            .map_err(|error| format!("the body could not be read: {error}"))?;
+        let length = match request.as_reader().read(&mut part) {
+            Ok(length) => length,
+            // The bound on silence that accepted sockets inherit.
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Err(too_late()),
+            Err(error) => {
+                let message = format!("the body could not be read: {error}");
+                return Err(Malformed::new(message));
+            }
+        };
         if length == 0 {
             return Ok(body.into());
         }
@@ -296,7 +386,7 @@
             return Err(too_long());
         }
         if begin.elapsed() > limits.body_timeout {
-            return Err("the body was not sent in time".to_owned());
+            return Err(too_late());
         }
     }
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -97,6 +97,16 @@
     #[serde(rename = "body_timeout_ms")]
     #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
     pub body_timeout: Duration,
+    /// Longest silence of a caller's connection, between requests and within one that
+    /// is being sent; it is closed after that.
+    #[serde(rename = "idle_timeout_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub idle_timeout: Duration,
+    /// Longest wait for a caller to take more of its answer; it counts as gone after
+    /// that.
+    #[serde(rename = "write_timeout_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    pub write_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -107,6 +117,8 @@
             default_deadline: Duration::from_secs(60),
             max_deadline: Duration::from_secs(600),
             body_timeout: Duration::from_secs(20),
+            idle_timeout: Duration::from_secs(75),
+            write_timeout: Duration::from_secs(30),
         }
     }
 }
@@ -246,6 +258,10 @@
             }
         }
         self.check_tls(problems);
+        if self.limits.idle_timeout.is_zero() || self.limits.write_timeout.is_zero() {
+            problems
+                .push("[limits] idle_timeout_ms and write_timeout_ms must be at least 1".into());
+        }
         if self.limits.max_requests == 0 || self.platform.kv_calls == 0 {
             problems
                 .push("[limits] max_requests and [platform] kv_calls must be at least 1".into());
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -111,6 +111,7 @@
             waiting: waiting.clone(),
             clock,
             limits: config.limits.clone(),
+            serving: Arc::default(),
         };
         platform::watch_list(inbox.clone(), &config.platform)?;
         peer::serve(
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -6,10 +6,11 @@
 //! arrive at once it may leave some waiting until the next one arrives: a connection of
 //! our own, made now and then, is that next one.
 
-use crate::logging;
+use crate::{logging, response::Last};
 use mulberryrack_core::note::{Level, Note};
+use socket2::SockRef;
 use std::{
-    io,
+    io, mem,
     net::{SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
@@ -24,6 +25,20 @@
 /// Time to open a connection to ourselves.
 const NUDGE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest body, in bytes, whose rest is read after its request was refused.
+const MAX_REST: usize = 64 << 20;
+
+/// Bounds on the silence of accepted connections. Set on the listener, they are inherited
+/// by what it accepts. They bound the accept call as well, where they never pass: our own
+/// connections come more often.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Longest wait for bytes of a head or a body, also between two requests.
+    pub idle: Duration,
+    /// Longest wait for the other end to take more of an answer.
+    pub write: Duration,
+}
+
 /// What is done with each request.
 type Handler = Arc<dyn Fn(Request) + Send + Sync>;
 
@@ -35,9 +50,22 @@
 pub fn serve(
     name: &'static str,
     listener: TcpListener,
+    bounds: Bounds,
     handle: impl Fn(Request) + Send + Sync + 'static,
 ) -> io::Result<()> {
     let address = listener.local_addr()?;
+    let socket = SockRef::from(&listener);
+    // Each token is a write of its own, and must not wait for the one before.
+    socket.set_tcp_nodelay(true)?;
+    socket.set_read_timeout(Some(bounds.idle))?;
+    socket.set_write_timeout(Some(bounds.write))?;
+    let handle = move |request: Request| {
+        if request.body_length() > Some(MAX_REST) {
+            refuse(request);
+        } else {
+            handle(request);
+        }
+    };
     accept(name, listener, Arc::new(handle))?;
     thread::Builder::new()
         .name(format!("{name}-nudge"))
@@ -45,6 +73,15 @@
         .map(|_| ())
 }
 
+/// Refuses a request whose body is far too long, and never reads its rest: the library
+/// would reserve memory for the whole of it, and the process would end where there is not
+/// enough. Its connection stays open, unread, since the library has no way to close it.
+fn refuse(request: Request) {
+    let message = format!("the body is longer than {MAX_REST} bytes");
+    let response = Last::bad(413, &message).response();
+    mem::forget(request.upgrade("none", response));
+}
+
 fn accept(name: &'static str, listener: TcpListener, handle: Handler) -> io::Result<()> {
     let again = listener.try_clone()?;
     let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -26,8 +26,10 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Headers that belong to one connection and are never passed on.
-const HOP_BY_HOP: [&str; 10] = [
+const HOP_BY_HOP: [&str; 11] = [
     "connection",
+    // The caller has been told to go on; the upstream gets the whole request at once.
+    "expect",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
--- a/crates/load/src/cluster.rs
+++ b/crates/load/src/cluster.rs
@@ -8,7 +8,7 @@
 };
 use mulberryrack_daemon::{
     Daemon,
-    config::{self, Config},
+    config::{self, Config, Limits},
 };
 use mulberryrack_host::{
     Settings,
@@ -35,6 +35,7 @@
     pub world: World,
     hosts: Vec<Running>,
     settings: Settings,
+    limits: Limits,
 }
 
 /// A running host.
@@ -51,11 +52,26 @@
     ///
     /// No port or thread is to be had.
     pub fn start(deployment: &Deployment, hosts: usize, settings: Settings) -> io::Result<Self> {
+        Self::start_with(deployment, hosts, settings, Limits::default())
+    }
+
+    /// Starts a deployment with other bounds on what callers may use.
+    ///
+    /// # Errors
+    ///
+    /// No port or thread is to be had.
+    pub fn start_with(
+        deployment: &Deployment,
+        hosts: usize,
+        settings: Settings,
+        limits: Limits,
+    ) -> io::Result<Self> {
         let world = World::start(deployment)?;
         let mut cluster = Self {
             world,
             hosts: Vec::new(),
             settings,
+            limits,
         };
         for listing in deployment.entry_hosts().into_iter().take(hosts) {
             let running = cluster.start_host(listing)?;
@@ -102,6 +118,7 @@
                 ..config::Platform::default()
             },
             areas: self.settings.clone(),
+            limits: self.limits.clone(),
             ..Config::default()
         }
     }
--- a/crates/tests/src/small.rs
+++ b/crates/tests/src/small.rs
@@ -1,6 +1,7 @@
 //! A small deployment whose table is in force and whose weights are loaded.
 
 use mulberryrack_core::{Name, completion};
+use mulberryrack_daemon::config::Limits;
 use mulberryrack_host::{Settings, operator::Answer};
 use mulberryrack_load::{
     cluster::{Cluster, wait},
@@ -48,8 +49,18 @@
 /// If that does not come about.
 #[must_use]
 pub fn cluster(hosts: usize) -> Cluster {
+    cluster_with(hosts, Limits::default())
+}
+
+/// As [`cluster`], with other bounds on what callers may use.
+///
+/// # Panics
+///
+/// If that does not come about.
+#[must_use]
+pub fn cluster_with(hosts: usize, limits: Limits) -> Cluster {
     let deployment = deployment();
-    let cluster = Cluster::start(&deployment, hosts, settings()).expect("free ports");
+    let cluster = Cluster::start_with(&deployment, hosts, settings(), limits).expect("free ports");
     let version = accept(&cluster, &deployment, "first");
     assert!(cluster.wait_version(version, PATIENCE).is_some());
     assert!(cluster.wait_rows(&deployment.table, PATIENCE).is_some());
--- a/crates/tests/tests/end_to_end.rs
+++ b/crates/tests/tests/end_to_end.rs
@@ -38,6 +38,13 @@
     }
 }
 
+#[test]
+fn a_single_host_serves_every_row() {
+    let cluster = small::cluster(1);
+    let reply = Caller::new().complete(&cluster.callers()[0], WHOLE, None);
+    assert_eq!((reply.status, &*reply.outcome), (200, "ran"), "{reply:?}");
+}
+
 #[test]
 fn a_service_call_passes_both_ways_with_its_headers() {
     let cluster = small::cluster(2);
