--- a/crates/replay/src/faults.rs
+++ b/crates/replay/src/faults.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     trace::Act,
-    world::{Happening, HostKey, World},
+    world::{Happening, HostKey, Version, World},
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_host::{Event, operator::Command};
@@ -130,8 +130,11 @@
         if let Ok(rows) = mulberryrack_table::csv::parse(&csv) {
             self.rows = rows.to_vec();
         }
-        let Some(host) = self.hosts.iter().position(|slot| slot.node.is_some()) else {
-            return;
+        let running = (0..self.hosts.len()).filter(|host| self.hosts[*host].node.is_some());
+        // Hosts of the baseline do not tell each other of a table.
+        let told: Vec<HostKey> = match self.version {
+            Version::Ours => running.take(1).collect(),
+            Version::Naive => running.collect(),
         };
         let command = Command::Accept {
             csv,
@@ -139,7 +142,10 @@
             change: format!("{table}-{}", self.now).into(),
             author: "replay".into(),
         };
-        let life = self.hosts[host].life;
-        self.feed_host(host, life, Event::Operator { ticket: 0, command });
+        for host in told {
+            let life = self.hosts[host].life;
+            let command = command.clone();
+            self.feed_host(host, life, Event::Operator { ticket: 0, command });
+        }
     }
 }
--- a/crates/replay/src/judge.rs
+++ b/crates/replay/src/judge.rs
@@ -54,6 +54,10 @@
     pub ran: u64,
     /// Requests that met their row's targets.
     pub met: u64,
+    /// Requests that ran, but whose first token was late.
+    pub late_first: u64,
+    /// Requests that ran, but whose tokens came too slowly.
+    pub late_gap: u64,
     /// `met` over `asked`.
     pub share: f64,
 }
@@ -167,6 +171,8 @@
             all.asked += one.asked;
             all.ran += one.ran;
             all.met += one.met;
+            all.late_first += one.late_first;
+            all.late_gap += one.late_gap;
         }
         all.share = part(all.met, all.asked);
         all
@@ -243,6 +249,10 @@
         one.asked += 1;
         one.ran += u64::from(caller.ran());
         one.met += u64::from(met(caller, row));
+        let late = first(caller, row).is_some_and(|first| first > row.first_token);
+        one.late_first += u64::from(late);
+        let slow = gap(caller, row).is_some_and(|gap| gap > row.token_gap);
+        one.late_gap += u64::from(slow);
     }
     for one in by.values_mut() {
         one.share = part(one.met, one.asked);
--- a/crates/replay/src/naive.rs
+++ b/crates/replay/src/naive.rs
@@ -9,6 +9,7 @@
     Name, Time,
     caller::Answer,
     node::{Listing, Role},
+    note::Counter,
     outcome::{Outcome, Reason, Refusal},
     request::{self, Request},
     upstream::{self, Action, Attempt, Connection, Contact, Order, Residency, Send},
@@ -379,6 +380,11 @@
         if let Some(running) = self.running.get_mut(&open.request.target) {
             *running = running.saturating_sub(1);
         }
+        out.push(Effect::Count(match outcome {
+            Outcome::Ran => Counter::Ran,
+            Outcome::NotRun(refusal) => Counter::Refused(refusal.reason),
+            Outcome::Unknown(doubt) => Counter::Doubted(doubt),
+        }));
         let answer = if open.begun {
             Answer::End(outcome)
         } else {
@@ -399,6 +405,7 @@
 }
 
 fn refuse(key: request::Key, reason: Reason, out: &mut Vec<Effect>) {
+    out.push(Effect::Count(Counter::Refused(reason)));
     out.push(Effect::Caller {
         request: key,
         answer: Answer::Final(Outcome::NotRun(refusal(reason))),
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -30,12 +30,14 @@
         line(
             &mut text,
             &format!(
-                "attainment {:<7} {:.4} (asked {}, ran {}, met {})",
+                "attainment {:<7} {:.4} (asked {}, ran {}, met {}, first late {}, tokens slow {})",
                 label(*priority),
                 one.share,
                 one.asked,
                 one.ran,
-                one.met
+                one.met,
+                one.late_first,
+                one.late_gap
             ),
         );
     }
