--- a/crates/place/src/cell.rs
+++ b/crates/place/src/cell.rs
@@ -361,10 +361,11 @@
         self.driven = now;
     }
 
-    /// Forgets engines that are neither listed nor answer.
+    /// Forgets engines that are neither listed nor answer, once that is published.
     fn drop_gone(&mut self, now: Time, shared: &Shared, fx: &mut Effects<'_>) {
         let lost = shared.settings.lost;
-        let gone = |engine: &Engine| !engine.listed && !engine.answers(now, lost);
+        let gone =
+            |engine: &Engine| !engine.listed && !engine.answers(now, lost) && engine.unrouted();
         let names: Vec<Name> = self
             .engines
             .iter()
@@ -472,15 +473,18 @@
         let rate = shared.settings.loads_per_second * share;
         let earned = now.since(self.allowance_at).as_secs_f64() * rate;
         self.allowance_at = now;
-        self.allowance = (self.allowance + earned).min(1.0);
+        let most = (rate * shared.settings.plan.as_secs_f64()).max(1.0);
+        self.allowance = (self.allowance + earned).min(most);
     }
 
     fn limits(&self, shared: &Shared) -> Limits {
         let share = shared.settings.parallel_loads / shared.cells.max(1);
         let running: usize = self.engines.values().map(|e| e.loading().len()).sum();
         let running = u32::try_from(running).unwrap_or(u32::MAX);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let allowed = self.allowance as u32;
         Limits {
-            loads: u32::from(self.allowance >= 1.0 && running < share.max(1)),
+            loads: allowed.min(share.max(1).saturating_sub(running)),
             move_price: shared.settings.move_price,
             copy_load: shared.settings.copy_load,
         }
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -576,6 +576,11 @@
             && since.is_some_and(|since| now.since(*since) >= spread)
     }
 
+    /// Whether no copy is published as routable by this term.
+    pub fn unrouted(&self) -> bool {
+        self.routes.is_empty()
+    }
+
     /// The spread value, if it differs from what was published last.
     pub fn publish(
         &mut self,
--- a/crates/place/tests/releases.rs
+++ b/crates/place/tests/releases.rs
@@ -126,4 +126,30 @@
         let copies = rig.routable(&format!("m{i}"));
         assert!(copies.iter().any(|(engine, _)| *engine != leaving), "m{i}");
     }
+    rig.down.insert(leaving.clone());
+    rig.listing.retain(|line| line.name != leaving);
+    rig.relist();
+    rig.run(Duration::from_secs(20));
+    for i in 0..4 {
+        let copies = rig.routable(&format!("m{i}"));
+        assert!(copies.iter().all(|(engine, _)| *engine != leaving), "m{i}");
+    }
+}
+
+#[test]
+fn an_engine_that_refuses_connections_is_out_of_the_routes_within_seconds() {
+    let rows = (0..4).map(|i| row(&format!("m{i}"), 30, 1, 2)).collect();
+    let engines = (0..4).map(|i| engine(i, 100, false)).collect();
+    let mut rig = Rig::new(4, Settings::default(), engines, rows);
+    rig.start("host-a");
+    rig.converge(Duration::from_secs(30)).expect("placed");
+    let down = rig.routable("m0")[0].0.clone();
+    rig.checks = false;
+    rig.down.insert(down.clone());
+    rig.run(Duration::from_secs(3));
+    assert!(rig.routable("m0").iter().all(|(engine, _)| *engine != down));
+    assert!(
+        rig.converge(Duration::from_secs(30)).is_some(),
+        "restored elsewhere"
+    );
 }
