--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -52,7 +52,7 @@
         "/readyz" => match inbox.readiness() {
             Some(Readiness::Ready) => Response::from_string("ready\n"),
             Some(Readiness::NoTable) => Response::from_string("no-table\n").with_status_code(503),
-            Some(Readiness::Stale) => Response::from_string("stale\n").with_status_code(503),
+            Some(Readiness::Isolated) => Response::from_string("isolated\n").with_status_code(503),
             Some(Readiness::Leaving) => Response::from_string("leaving\n").with_status_code(503),
             None => Response::from_string("stopped\n").with_status_code(503),
         },
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -10,6 +10,7 @@
 use std::{
     io::{self, Write},
     sync::mpsc::Receiver,
+    time::Duration,
 };
 use tiny_http::{Header, Response};
 
@@ -21,6 +22,9 @@
 /// Longest answer in bytes that is collected for a caller that knows no chunks.
 const MAX_WHOLE: usize = 8 << 20;
 
+/// When to send again after a record could not be read.
+const RETRY_UNREAD: Duration = Duration::from_secs(1);
+
 /// Why an answer was not written to its end.
 #[derive(Debug)]
 pub enum Error {
@@ -193,6 +197,10 @@
                 refusal.retry_after,
             ),
             Outcome::Unknown(Doubt::AnswerGone) => (409, Doubt::AnswerGone.label(), None),
+            // The record is read again as soon as its owner can be reached.
+            Outcome::Unknown(doubt @ Doubt::RecordUnread) => {
+                (504, doubt.label(), Some(RETRY_UNREAD))
+            }
             Outcome::Unknown(doubt) => (504, doubt.label(), None),
         };
         let mut last = Self::with(status, outcome.label(), reason, &message(outcome));
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -54,8 +54,8 @@
     Ready,
     /// It has no table yet.
     NoTable,
-    /// It cannot show that its table is current; it goes on serving by it.
-    Stale,
+    /// It is cut off from the service and from most hosts: its table may be old.
+    Isolated,
     /// It is leaving.
     Leaving,
 }
@@ -157,9 +157,9 @@
             return Readiness::Leaving;
         }
         let now = self.now;
-        match self.member(|member| (member.table().is_some(), member.current(now))) {
+        match self.member(|member| (member.table().is_some(), member.ready(now))) {
             (false, _) => Readiness::NoTable,
-            (true, false) => Readiness::Stale,
+            (true, false) => Readiness::Isolated,
             (true, true) => Readiness::Ready,
         }
     }
--- a/crates/replay/src/caller.rs
+++ b/crates/replay/src/caller.rs
@@ -275,8 +275,11 @@
             .iter()
             .position(|slot| *slot.listing.address == *address);
         let Some(host) = host.filter(|host| self.hosts[*host].node.is_some()) else {
+            // The next address of the same answer is tried first.
             let target = self.callers[caller].asked.target.clone();
-            self.known.remove(&target);
+            if let Some((_, addresses)) = self.known.get_mut(&target) {
+                addresses.retain(|one| **one != *address);
+            }
             return self.later(caller, CONNECT_TIMEOUT, Step::Ask);
         };
         let life = self.hosts[host].life;
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -323,6 +323,8 @@
     let mut bench = Bench::ready(Settings::default());
     bench.call(1, "innocent", "normal", &call("p"));
     bench.call(2, "poison", "normal", &call(POISON));
+    // Its prompt is read after the one before it.
+    bench.run(millis(100));
     assert_eq!(bench.exchange(1).fault, Some(Fault::Broken));
     assert_eq!(bench.exchange(2).fault, Some(Fault::Broken));
     assert_eq!((bench.engine.is_down(), bench.engine.crashes), (true, 1));
