--- a/crates/replay/src/judge.rs
+++ b/crates/replay/src/judge.rs
@@ -88,6 +88,10 @@
     pub token_gap_ms: Latency,
     /// Loads that the weight store began.
     pub loads: u64,
+    /// Loads begun after the trace began.
+    pub moves: u64,
+    /// Crashes of engines.
+    pub crashes: u32,
     /// Counters by name.
     pub counters: BTreeMap<String, u64>,
     /// Calls to the key-value service by area and kind.
@@ -154,6 +158,12 @@
         if all.share < wanted.all {
             missed.push(format!("attainment {:.4} < {}", all.share, wanted.all));
         }
+        if self.crashes > wanted.crashes {
+            missed.push(format!(
+                "{} crashes of engines, allowed {}",
+                self.crashes, wanted.crashes
+            ));
+        }
         if self.longest_missing.0 > wanted.missing_seconds {
             missed.push(format!(
                 "row {} had no copy for {:.1} s, allowed {:.1} s",
@@ -184,9 +194,9 @@
     if of == 0 { 1.0 } else { one as f64 / of as f64 }
 }
 
-/// Judges a world that has run for `length`.
+/// Judges a world whose trace ran for `length` after `loads` loads.
 #[must_use]
-pub fn judge(world: &World, length: Duration) -> Summary {
+pub fn judge(world: &World, length: Duration, loads: u64) -> Summary {
     let rows: BTreeMap<&str, &Row> = world.rows().iter().map(|row| (&*row.name, row)).collect();
     let callers: Vec<(&Caller, &Row)> = world
         .callers()
@@ -211,6 +221,8 @@
         ),
         token_gap_ms: latency(callers.iter().filter_map(|(caller, row)| gap(caller, row))),
         loads: world.loads(),
+        moves: world.loads() - loads,
+        crashes: world.crashes(),
         counters: world
             .counters
             .iter()
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -49,10 +49,13 @@
     let mut world = World::new(deployment, version, shifted, seed);
     world.run(Time::from_millis(FIRST_ACCEPT_MS));
     world.accept(deployment::FIRST_TABLE);
+    let begin = Time::from_millis(offset);
+    world.run(begin);
+    let loads = world.loads();
     let end = Time::from_millis(last) + COOL_DOWN;
     world.run(end);
-    let length = Time::from_millis(last) - Time::from_millis(offset);
-    let summary = judge::judge(&world, length);
+    let length = Time::from_millis(last) - begin;
+    let summary = judge::judge(&world, length, loads);
     (world, summary)
 }
 
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -64,8 +64,10 @@
     line(
         &mut text,
         &format!(
-            "loads {}, peak memory {:.3}, longest without a copy {:.1} s {}, table spread {:.2} s",
+            "loads {}, of them moves {}, crashes {}, peak memory {:.3}, longest without a copy {:.1} s {}, table spread {:.2} s",
             summary.loads,
+            summary.moves,
+            summary.crashes,
             summary.peak_memory,
             summary.longest_missing.0,
             summary.longest_missing.1,
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -327,6 +327,12 @@
         self.weights.loads
     }
 
+    /// Crashes of engines since the start.
+    #[must_use]
+    pub fn crashes(&self) -> u32 {
+        self.engines.iter().map(|engine| engine.crashes).sum()
+    }
+
     /// The key-value service's counts: writes, reads.
     #[must_use]
     pub const fn kv_totals(&self) -> (u64, u64) {
