--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -82,23 +82,7 @@
         let waiting = Arc::new(Waiting::default());
         let metrics = Arc::new(Metrics::new());
         let clock = Clock::start();
-        let adapters = Adapters {
-            upstream: upstream::Client::new(
-                inbox.clone(),
-                driver::life(&identity),
-                config.limits.max_requests * 2,
-            ),
-            contact: contact::Client::new(inbox.clone(), CONTACTS),
-            platform: platform::Client::new(inbox.clone(), &config.platform, &identity.name),
-            peer: peer::Client::new(
-                inbox.clone(),
-                runtime.handle().clone(),
-                metrics.clone(),
-                tls.clone(),
-            ),
-            waiting: waiting.clone(),
-            metrics: metrics.clone(),
-        };
+        let adapters = adapters(config, &identity, &runtime, &inbox, &waiting, &metrics);
         let start = Start {
             settings: config.areas.clone(),
             identity: identity.clone(),
@@ -173,6 +157,34 @@
     }
 }
 
+fn adapters(
+    config: &Config,
+    identity: &Identity,
+    runtime: &Runtime,
+    inbox: &Inbox,
+    waiting: &Arc<Waiting>,
+    metrics: &Arc<Metrics>,
+) -> Adapters {
+    let tls = config.tls.named().then(|| config.tls.clone());
+    Adapters {
+        upstream: upstream::Client::new(
+            inbox.clone(),
+            driver::life(identity),
+            config.limits.max_requests * 2,
+        ),
+        contact: contact::Client::new(inbox.clone(), CONTACTS),
+        platform: platform::Client::new(inbox.clone(), &config.platform, &identity.name),
+        peer: peer::Client::new(
+            inbox.clone(),
+            runtime.handle().clone(),
+            metrics.clone(),
+            tls,
+        ),
+        waiting: waiting.clone(),
+        metrics: metrics.clone(),
+    }
+}
+
 fn spawn_driver(start: Start, outlet: Outlet, adapters: Adapters) -> io::Result<JoinHandle<()>> {
     thread::Builder::new()
         .name("host".to_owned())
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -3,9 +3,7 @@
 use crate::{
     Area, Effect, Event, Settings,
     actors::{Ledger, Member, Planner, Router, Shared},
-    desk,
     drain::{Drain, Stage},
-    operator::{Answer, Applied, Command, Status},
 };
 use mulberryrack_core::{
     Incarnation, Name, Time,
@@ -16,7 +14,7 @@
     view::{Peer, Standing, View},
 };
 use mulberryrack_member::Address;
-use mulberryrack_table::{Row, Table, csv};
+use mulberryrack_table::Table;
 use mulberryrack_wire::{
     peer::{Envelope, envelope::Body},
     place,
@@ -64,15 +62,15 @@
 pub struct Host {
     stakker: Stakker,
     shared: Shared,
-    identity: Identity,
-    member: ActorOwn<Member>,
+    pub(crate) identity: Identity,
+    pub(crate) member: ActorOwn<Member>,
     ledger: ActorOwn<Ledger>,
     router: ActorOwn<Router>,
     planner: ActorOwn<Planner>,
     /// Engines on the platform's list, as last read.
-    engines: Vec<Listing>,
+    pub(crate) engines: Vec<Listing>,
     /// Time of the last event. Events in the past are taken as if they came then.
-    now: Time,
+    pub(crate) now: Time,
 }
 
 impl fmt::Debug for Host {
@@ -183,34 +181,40 @@
         query!([router, stakker], open()).unwrap_or(0)
     }
 
-    fn run(&mut self, now: Time) {
+    pub(crate) fn run(&mut self, now: Time) {
         self.now = self.now.max(now);
         let instant = self.shared.base + Duration::from_micros(self.now.as_micros());
         self.stakker.run(instant, false);
     }
 
-    fn member<R>(&mut self, question: impl FnOnce(&mut mulberryrack_member::Member) -> R) -> R {
+    pub(crate) fn member<R>(
+        &mut self,
+        question: impl FnOnce(&mut mulberryrack_member::Member) -> R,
+    ) -> R {
         let Self {
             stakker, member, ..
         } = self;
         query!([member, stakker], ask(question)).expect("the member actor never ends")
     }
 
-    fn spread_engines(&mut self) -> BTreeMap<Name, place::Engine> {
+    pub(crate) fn spread_engines(&mut self) -> BTreeMap<Name, place::Engine> {
         let Self {
             stakker, member, ..
         } = self;
         query!([member, stakker], engines()).unwrap_or_default()
     }
 
-    fn planner<R>(&mut self, question: impl FnOnce(&mulberryrack_place::Planner) -> R) -> R {
+    pub(crate) fn planner<R>(
+        &mut self,
+        question: impl FnOnce(&mulberryrack_place::Planner) -> R,
+    ) -> R {
         let Self {
             stakker, planner, ..
         } = self;
         query!([planner, stakker], ask(question)).expect("the planner actor never ends")
     }
 
-    fn emit(&mut self, effect: Effect) {
+    pub(crate) fn emit(&mut self, effect: Effect) {
         self.shared.emit(&mut self.stakker, effect);
     }
 
@@ -372,7 +376,7 @@
         );
     }
 
-    fn drain(&mut self) {
+    pub(crate) fn drain(&mut self) {
         let drain = self.shared.drain.rw(&mut self.stakker);
         if drain.stage != Stage::Serving {
             return;
@@ -453,175 +457,3 @@
         }
     }
 }
-
-/// Operators' commands.
-impl Host {
-    fn command(&mut self, ticket: u64, command: Command) {
-        let answer = match command {
-            Command::Check { csv } => self.check(&csv),
-            Command::Accept {
-                csv,
-                parent,
-                change,
-                author,
-            } => match self.propose(ticket, &csv, parent, change, author) {
-                Some(answer) => answer,
-                None => return,
-            },
-            Command::Show { version: None } => self.show(),
-            Command::Show { version } => return self.read(ticket, version),
-            Command::History => return self.read(ticket, None),
-            Command::Progress => self.progress(),
-            Command::Status => self.status(),
-            Command::Explain { row } => self.explain(row),
-            Command::Drain => {
-                self.drain();
-                Answer::Draining
-            }
-        };
-        self.emit(Effect::Operator { ticket, answer });
-    }
-
-    fn read(&mut self, ticket: u64, version: Option<u64>) {
-        call!(
-            [self.member],
-            input(mulberryrack_member::Input::Read { ticket, version })
-        );
-    }
-
-    /// The rows of a table that could be put in force, or what is wrong with it.
-    fn checked(&mut self, text: &str) -> Result<Arc<[Row]>, Answer> {
-        let rows = csv::parse(text).map_err(|problems| Answer::Invalid {
-            problems: problems.iter().map(ToString::to_string).collect(),
-        })?;
-        let table = Table {
-            version: 0,
-            change: Name::default(),
-            author: Name::default(),
-            rows: rows.clone(),
-        };
-        let shortfalls = mulberryrack_place::check(&table, &self.engines).err();
-        match shortfalls {
-            // Before the first list nothing is known of the engines.
-            Some(shortfalls) if !self.engines.is_empty() => Err(Answer::Invalid {
-                problems: shortfalls.iter().map(desk::shortfall).collect(),
-            }),
-            _ => Ok(rows),
-        }
-    }
-
-    fn check(&mut self, text: &str) -> Answer {
-        match self.checked(text) {
-            Err(answer) => answer,
-            Ok(rows) => {
-                let table = self.table();
-                let old = table.as_ref().map_or(&[][..], |table| &table.rows);
-                Answer::Checked {
-                    version: table.as_ref().map_or(0, |table| table.version),
-                    changes: desk::changes(old, &rows),
-                }
-            }
-        }
-    }
-
-    fn propose(
-        &mut self,
-        ticket: u64,
-        text: &str,
-        parent: Option<u64>,
-        change: Name,
-        author: Name,
-    ) -> Option<Answer> {
-        let rows = match self.checked(text) {
-            Err(answer) => return Some(answer),
-            Ok(rows) => rows,
-        };
-        let current = self.table().map_or(0, |table| table.version);
-        call!(
-            [self.member],
-            input(mulberryrack_member::Input::Accept {
-                ticket,
-                parent: parent.unwrap_or(current),
-                change,
-                author,
-                rows,
-            })
-        );
-        None
-    }
-
-    fn show(&mut self) -> Answer {
-        self.table().map_or_else(
-            || Answer::Failed {
-                reason: "no table is in force yet".to_owned(),
-            },
-            |table| Answer::Table(desk::version(&table, true)),
-        )
-    }
-
-    fn applied(&mut self) -> Vec<Applied> {
-        self.member(|member| {
-            let view = member.view();
-            let progress = member.progress();
-            view.peers
-                .iter()
-                .filter(|peer| !matches!(peer.standing, Standing::Dead | Standing::Gone))
-                .map(|peer| Applied {
-                    host: peer.name.clone(),
-                    version: progress
-                        .hosts
-                        .iter()
-                        .find(|(name, _)| *name == peer.name)
-                        .map_or(0, |(_, version)| *version),
-                    alive: peer.standing == Standing::Alive,
-                })
-                .collect()
-        })
-    }
-
-    fn progress(&mut self) -> Answer {
-        Answer::Progress {
-            version: self.table().map_or(0, |table| table.version),
-            hosts: self.applied(),
-        }
-    }
-
-    fn status(&mut self) -> Answer {
-        let now = self.now;
-        let applied = self.applied();
-        let (view, current) = self.member(|member| (member.view(), member.current(now)));
-        let hosts = view
-            .peers
-            .iter()
-            .map(|peer| crate::operator::Member {
-                name: peer.name.clone(),
-                data_centre: peer.data_centre.clone(),
-                standing: format!("{:?}", peer.standing).to_lowercase(),
-                version: applied
-                    .iter()
-                    .find(|applied| applied.host == peer.name)
-                    .map_or(0, |applied| applied.version),
-            })
-            .collect();
-        Answer::Status(Box::new(Status {
-            host: self.identity.name.clone(),
-            version: self.table().map_or(0, |table| table.version),
-            current,
-            requests: self.open_requests(),
-            hosts,
-            engines: desk::engines(&self.spread_engines()),
-        }))
-    }
-
-    fn explain(&mut self, row: Name) -> Answer {
-        if self.table().is_none_or(|table| table.row(&row).is_none()) {
-            return Answer::Failed {
-                reason: format!("the table in force has no row {row:?}"),
-            };
-        }
-        let now = self.now;
-        let mut lines = desk::copies(&self.spread_engines(), &row);
-        lines.extend(self.planner(|planner| desk::plan(&planner.status(now), &row)));
-        Answer::Explained { row, lines }
-    }
-}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 mod actors;
+mod commands;
 mod desk;
 mod drain;
 mod event;
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod judge;
 pub mod naive;
 pub mod node;
+mod platform;
 pub mod queue;
 pub mod report;
 pub mod scenario;
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -1,7 +1,9 @@
 //! A replay's summary as text, and as one HTML page with plots.
 
-use crate::{judge::Summary, world::World};
-use mulberryrack_core::request::Priority;
+use crate::{
+    judge::{Latency, Summary},
+    world::World,
+};
 use plotters::{
     chart::ChartBuilder,
     prelude::{IntoDrawingArea, SVGBackend},
@@ -26,65 +28,62 @@
             &format!("promise {:<28} {state} {first}", promise.name),
         );
     }
+    attainment(&mut text, summary);
+    costs(&mut text, summary);
+    for (name, count) in summary.counters.iter().chain(&summary.kv_calls) {
+        line(&mut text, &format!("count {name} {count}"));
+    }
+    text
+}
+
+fn attainment(text: &mut String, summary: &Summary) {
     for (priority, one) in &summary.attainment {
-        line(
-            &mut text,
-            &format!(
-                "attainment {:<7} {:.4} (asked {}, ran {}, met {}, first late {}, tokens slow {})",
-                label(*priority),
-                one.share,
-                one.asked,
-                one.ran,
-                one.met,
-                one.late_first,
-                one.late_gap
-            ),
+        let figures = format!(
+            "attainment {:<7} {:.4} (asked {}, ran {}, met {}, first late {}, tokens slow {})",
+            priority.label(),
+            one.share,
+            one.asked,
+            one.ran,
+            one.met,
+            one.late_first,
+            one.late_gap
         );
+        line(text, &figures);
     }
-    let all = summary.all();
-    line(
-        &mut text,
-        &format!(
-            "attainment all     {:.4}, {:.4} met per accelerator and second",
-            all.share, summary.met_per_accelerator
-        ),
+    let all = format!(
+        "attainment all     {:.4}, {:.4} met per accelerator and second",
+        summary.all().share,
+        summary.met_per_accelerator
     );
-    for (name, one) in [
-        ("first token", &summary.first_token_ms),
-        ("token gap", &summary.token_gap_ms),
-    ] {
-        line(
-            &mut text,
-            &format!(
-                "{name} ms: p50 {:.1}, p95 {:.1}, p99 {:.1}",
-                one.p50, one.p95, one.p99
-            ),
-        );
-    }
-    line(
-        &mut text,
-        &format!(
-            "loads {}, of them moves {}, crashes {}, peak memory {:.3}, longest without a copy {:.1} s {}, table spread {:.2} s",
-            summary.loads,
-            summary.moves,
-            summary.crashes,
-            summary.peak_memory,
-            summary.longest_missing.0,
-            summary.longest_missing.1,
-            summary.table_spread
-        ),
+    line(text, &all);
+    latency(text, "first token", &summary.first_token_ms);
+    latency(text, "token gap", &summary.token_gap_ms);
+}
+
+fn latency(text: &mut String, name: &str, one: &Latency) {
+    let figures = format!(
+        "{name} ms: p50 {:.1}, p95 {:.1}, p99 {:.1}",
+        one.p50, one.p95, one.p99
     );
-    line(
-        &mut text,
-        &format!(
-            "key-value service: {:.1} writes and {:.1} reads a second; peers {:.0} bytes a second",
-            summary.kv_per_second.0, summary.kv_per_second.1, summary.peer_bytes_per_second
-        ),
+    line(text, &figures);
+}
+
+fn costs(text: &mut String, summary: &Summary) {
+    let engines = format!(
+        "loads {}, of them moves {}, crashes {}, peak memory {:.3}",
+        summary.loads, summary.moves, summary.crashes, summary.peak_memory
     );
-    for (name, count) in summary.counters.iter().chain(&summary.kv_calls) {
-        line(&mut text, &format!("count {name} {count}"));
-    }
-    text
+    line(text, &engines);
+    let tables = format!(
+        "longest without a copy {:.1} s {}, table spread {:.2} s",
+        summary.longest_missing.0, summary.longest_missing.1, summary.table_spread
+    );
+    line(text, &tables);
+    let calls = format!(
+        "key-value service: {:.1} writes and {:.1} reads a second; peers {:.0} bytes a second",
+        summary.kv_per_second.0, summary.kv_per_second.1, summary.peer_bytes_per_second
+    );
+    line(text, &calls);
 }
 
 fn line(text: &mut String, line: &str) {
@@ -92,14 +91,6 @@
     let _ = writeln!(text, "{}", line.trim_end());
 }
 
-const fn label(priority: Priority) -> &'static str {
-    match priority {
-        Priority::Urgent => "urgent",
-        Priority::Normal => "normal",
-        Priority::Bulk => "bulk",
-    }
-}
-
 /// The summary and its plots as a page that needs no other file.
 ///
 /// # Errors
--- a/crates/replay/src/scenario.rs
+++ b/crates/replay/src/scenario.rs
@@ -1,6 +1,9 @@
 //! Traces made under a fixed seed: the users' days with what goes wrong in them.
 
-use crate::trace::{Act, Line, Request};
+use crate::{
+    deployment::RELEASE_TABLE,
+    trace::{Act, Line, Request},
+};
 use mulberryrack_core::{Name, request::Priority};
 use mulberryrack_table::{Kind, Row};
 use rand::{RngExt, SeedableRng};
@@ -226,104 +229,92 @@
     }
 }
 
+/// What goes wrong, at parts of the trace in a hundred.
 fn faults(scenario: Scenario, shape: &Shape) -> Vec<Line> {
     let total = shape.seconds * 1_000;
-    let at = |part: u64, act: Act| Line {
-        at_ms: total * part / 100,
-        act,
-    };
-    let host = |index: usize| shape.hosts[index % shape.hosts.len()].clone();
-    let engine = |index: usize| shape.engines[index % shape.engines.len()].clone();
-    match scenario {
+    let acts = match scenario {
         Scenario::Steady | Scenario::Surge => Vec::new(),
-        Scenario::Release => vec![at(
+        Scenario::Release => vec![(
             40,
             Act::Accept {
-                table: "table-release.csv".into(),
+                table: RELEASE_TABLE.into(),
             },
         )],
-        Scenario::Outage => vec![
-            at(
-                20,
-                Act::KvLosesAnswers {
-                    percent: 30,
-                    for_ms: total / 20,
-                },
-            ),
-            at(30, Act::KvOutage { for_ms: total / 2 }),
-            at(
-                85,
-                Act::KvSlow {
-                    add_ms: 300,
-                    for_ms: total / 10,
-                },
-            ),
-        ],
-        Scenario::HostLoss => vec![
-            at(
-                20,
-                Act::KillHost {
-                    host: host(0),
-                    back_ms: Some(total / 10),
-                },
-            ),
-            at(
-                35,
-                Act::PauseHost {
-                    host: host(1),
-                    for_ms: total / 10,
-                },
-            ),
-            at(
-                50,
-                Act::CutHosts {
-                    hosts: vec![host(2)],
-                    for_ms: total / 10,
-                },
-            ),
-            at(65, Act::DrainHost { host: host(3) }),
-            at(
-                80,
-                Act::KillHost {
-                    host: host(4),
-                    back_ms: Some(total / 10),
-                },
-            ),
-        ],
-        Scenario::EngineLoss => vec![
-            at(
-                10,
-                Act::OrdersLost {
-                    percent: 20,
-                    for_ms: total / 2,
-                },
-            ),
-            at(
-                25,
-                Act::CrashEngine {
-                    engine: engine(0),
-                    back_ms: Some(total / 10),
-                },
-            ),
-            at(
-                45,
-                Act::SilentStreams {
-                    upstream: engine(1),
-                },
-            ),
-            at(60, Act::EngineLeaves { engine: engine(2) }),
-            at(
-                75,
-                Act::CrashEngine {
-                    engine: engine(3),
-                    back_ms: None,
-                },
-            ),
-        ],
-        Scenario::Poison => (0..6)
-            .map(|turn| at(30 + 8 * turn, poison(shape)))
-            .collect(),
-    }
+        Scenario::Outage => outage(total),
+        Scenario::HostLoss => host_loss(total, shape),
+        Scenario::EngineLoss => engine_loss(total, shape),
+        Scenario::Poison => (0..6).map(|turn| (30 + 8 * turn, poison(shape))).collect(),
+    };
+    acts.into_iter()
+        .map(|(part, act)| Line {
+            at_ms: total * part / 100,
+            act,
+        })
+        .collect()
+}
+
+/// Answers are lost, then the service is away, then it is slow.
+fn outage(total: u64) -> Vec<(u64, Act)> {
+    let loses = Act::KvLosesAnswers {
+        percent: 30,
+        for_ms: total / 20,
+    };
+    let slow = Act::KvSlow {
+        add_ms: 300,
+        for_ms: total / 10,
+    };
+    let away = Act::KvOutage { for_ms: total / 2 };
+    vec![(20, loses), (30, away), (85, slow)]
+}
+
+/// Hosts die, stand still, are cut off and leave, one after the other.
+fn host_loss(total: u64, shape: &Shape) -> Vec<(u64, Act)> {
+    let host = |index: usize| shape.hosts[index % shape.hosts.len()].clone();
+    let for_ms = total / 10;
+    let kill = |index| Act::KillHost {
+        host: host(index),
+        back_ms: Some(for_ms),
+    };
+    let pause = Act::PauseHost {
+        host: host(1),
+        for_ms,
+    };
+    let cut = Act::CutHosts {
+        hosts: vec![host(2)],
+        for_ms,
+    };
+    let drain = Act::DrainHost { host: host(3) };
+    vec![
+        (20, kill(0)),
+        (35, pause),
+        (50, cut),
+        (65, drain),
+        (80, kill(4)),
+    ]
+}
+
+/// Orders are lost; engines crash, fall silent, leave, and go for good.
+fn engine_loss(total: u64, shape: &Shape) -> Vec<(u64, Act)> {
+    let engine = |index: usize| shape.engines[index % shape.engines.len()].clone();
+    let lost = Act::OrdersLost {
+        percent: 20,
+        for_ms: total / 2,
+    };
+    let crash = |index, back_ms| Act::CrashEngine {
+        engine: engine(index),
+        back_ms,
+    };
+    let silent = Act::SilentStreams {
+        upstream: engine(1),
+    };
+    let leaves = Act::EngineLeaves { engine: engine(2) };
+    vec![
+        (10, lost),
+        (25, crash(0, Some(total / 10))),
+        (45, silent),
+        (60, leaves),
+        (75, crash(3, None)),
+    ]
 }
 
 /// The same crashing request each time, under a new key where the row needs one.
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -38,9 +38,9 @@
 /// One way between a host and an upstream.
 const UPSTREAM_LATENCY: Duration = Duration::from_micros(300);
 /// Time of a call to the key-value service, both ways.
-const KV_LATENCY: Duration = Duration::from_millis(4);
+pub(crate) const KV_LATENCY: Duration = Duration::from_millis(4);
 /// Time after which a call that is not answered has failed.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between reads of the list.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Time until a change is on the platform's list.
@@ -581,27 +581,6 @@
         self.list.remove(self.now, &name);
     }
 
-    /// Looks at the versions in force on hosts that run and can be reached.
-    fn look_at_tables(&mut self) {
-        let now = self.now;
-        let mut versions = Vec::new();
-        for key in 0..self.hosts.len() {
-            let others = (0..self.hosts.len()).filter(|other| *other != key);
-            let cut = others
-                .into_iter()
-                .all(|other| self.faults.cut(key, other, now));
-            let slot = &mut self.hosts[key];
-            if slot.paused_until > now || cut {
-                continue;
-            }
-            if let Some(Node::Ours(host)) = &mut slot.node {
-                let version = host.table().map_or(0, |table| table.version);
-                versions.push((slot.listing.name.clone(), slot.life, version));
-            }
-        }
-        self.spread.look(now, &versions);
-    }
-
     /// Carries a message between hosts as bytes, unless they are cut off.
     fn peer(&mut self, from: HostKey, address: &str, envelope: &mulberryrack_wire::peer::Envelope) {
         use prost::Message;
@@ -640,102 +619,6 @@
     }
 }
 
-/// The key-value service.
-impl World {
-    fn kv(&mut self, host: HostKey, life: u64, area: Area, token: kv::Token, op: &kv::Op) {
-        let now = self.now;
-        if self.faults.kv_down(now) {
-            let write = !matches!(op, kv::Op::Get { .. } | kv::Op::List { .. });
-            let fault = if write {
-                kv::Fault::Unknown
-            } else {
-                kv::Fault::NotApplied
-            };
-            return self.kv_done(host, life, CALL_TIMEOUT, (area, token, Err(fault)));
-        }
-        let slow = self.faults.kv_slow(now);
-        let reply = self.store.call(now, op);
-        if !matches!(
-            op,
-            kv::Op::Get { .. } | kv::Op::List { .. } | kv::Op::Watch { .. }
-        ) {
-            self.notify_watches();
-        }
-        match (reply, op) {
-            (Some(reply), _) => {
-                let lost = self.faults.kv_loses(now, &mut self.draws);
-                if lost {
-                    let outcome = Err(kv::Fault::Unknown);
-                    return self.kv_done(host, life, CALL_TIMEOUT, (area, token, outcome));
-                }
-                self.kv_done(host, life, KV_LATENCY / 2 + slow, (area, token, Ok(reply)));
-            }
-            (
-                None,
-                kv::Op::Watch {
-                    prefix,
-                    after,
-                    wait,
-                },
-            ) => {
-                self.next_watch += 1;
-                let watch = Watch {
-                    host,
-                    life,
-                    area,
-                    token,
-                    prefix: prefix.clone(),
-                    after: *after,
-                };
-                self.watches.insert(self.next_watch, watch);
-                let ends = Happening::WatchEnds(self.next_watch);
-                self.queue.put(now + *wait, ends);
-            }
-            (None, _) => {}
-        }
-    }
-
-    fn kv_done(
-        &mut self,
-        host: HostKey,
-        life: u64,
-        way: Duration,
-        (area, token, outcome): (Area, kv::Token, kv::Outcome),
-    ) {
-        let event = Event::Kv {
-            area,
-            token,
-            outcome,
-        };
-        self.send_host(way, host, life, event);
-    }
-
-    fn watch_ends(&mut self, watch: u64) {
-        if let Some(watch) = self.watches.remove(&watch) {
-            let reply = self.store.unchanged();
-            let done = (watch.area, watch.token, Ok(reply));
-            self.kv_done(watch.host, watch.life, KV_LATENCY / 2, done);
-        }
-    }
-
-    fn notify_watches(&mut self) {
-        let ready: Vec<(u64, kv::Reply)> = self
-            .watches
-            .iter()
-            .filter_map(|(key, watch)| {
-                let reply = self.store.changes(&watch.prefix, watch.after)?;
-                Some((*key, reply))
-            })
-            .collect();
-        for (key, reply) in ready {
-            if let Some(watch) = self.watches.remove(&key) {
-                let done = (watch.area, watch.token, Ok(reply));
-                self.kv_done(watch.host, watch.life, KV_LATENCY / 2, done);
-            }
-        }
-    }
-}
-
 /// One way to an upstream, for the modules that send there.
 pub(crate) const TO_UPSTREAM: Duration = UPSTREAM_LATENCY;
 /// Time after which an exchange that nobody answers has failed.
