Replay: every life of a host reads its own clock; a caller's stream names are not passed on

Cause: lives of hosts shared one clock, which no two processes do, and an engine takes the first stream name in a call's headers.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -41,10 +41,13 @@
     "host",
 ];
 
+/// Header that names a stream at an engine. Hosts set it; a caller's is not passed on.
+const STREAM: &str = "x-stream-id";
+
 /// Whether a header is passed on from end to end. `name` is in lower case.
 #[must_use]
 pub fn end_to_end(name: &str) -> bool {
-    !HOP_BY_HOP.contains(&name)
+    name != STREAM && !HOP_BY_HOP.contains(&name)
 }
 
 /// Makes attempts on threads of their own.
@@ -224,7 +227,7 @@
         builder = builder.header(&**name, &**value);
     }
     builder
-        .header("x-stream-id", stream)
+        .header(STREAM, stream)
         .body(send.call.body.to_vec())
         .ok()
 }
--- a/crates/replay/src/caller.rs
+++ b/crates/replay/src/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     trace::Request as Asked,
-    world::{Happening, HostKey, World},
+    world::{Happening, HostKey, Slot, World},
 };
 use bytes::Bytes;
 use mulberryrack_core::{
@@ -282,7 +282,7 @@
             }
             return self.later(caller, CONNECT_TIMEOUT, Step::Ask);
         };
-        let life = self.hosts[host].life;
+        let Slot { life, started, .. } = self.hosts[host];
         let key = request::Key(self.draws.random());
         let arrive = self.now + LATENCY;
         let record = &mut self.callers[caller];
@@ -292,7 +292,7 @@
             target: record.asked.target.clone(),
             call: record.call.clone(),
             idempotency: record.asked.key.clone(),
-            deadline: record.deadline(),
+            deadline: Time::ZERO + (record.deadline() - started),
             prefix: completion
                 .map(|asked| hash::prefix(&asked.model, &asked.prompt))
                 .unwrap_or_default(),
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -50,6 +50,9 @@
 /// Random part added to every way, so that no two runs of events tie.
 const JITTER_MICROS: u64 = 200;
 
+/// Wall clock at the start of a replay, in milliseconds.
+const START_OF_TIME_MS: u64 = 1_800_000_000_000;
+
 /// Index of a host.
 pub type HostKey = usize;
 
@@ -119,6 +122,8 @@
     pub node: Option<Node>,
     /// Rises with each start.
     pub life: u64,
+    /// Where this life's own clock reads zero.
+    pub started: Time,
     pub paused_until: Time,
     pub wake: Option<Time>,
     /// Whether it was told to leave and is not to start again.
@@ -428,11 +433,12 @@
         let seed = self.draws.random();
         let slot = &mut self.hosts[host];
         slot.life += 1;
+        slot.started = now;
         slot.wake = None;
         let life = slot.life;
         let identity = Identity {
             name: slot.listing.name.clone(),
-            incarnation: Incarnation(now.as_micros() / 1_000 + life),
+            incarnation: Incarnation(START_OF_TIME_MS + now.as_micros() / 1_000 + life),
             data_centre: slot.listing.data_centre.clone(),
             address: slot.listing.address.clone(),
             peer_address: slot.listing.peer_address.clone(),
@@ -440,7 +446,7 @@
         slot.node = Some(match self.version {
             Version::Ours => {
                 let settings = self.deployment.settings.clone();
-                Node::Ours(Box::new(Host::new(settings, identity, seed, now)))
+                Node::Ours(Box::new(Host::new(settings, identity, seed, Time::ZERO)))
             }
             Version::Naive => Node::Naive(Box::new(naive::Host::new(host, &self.deployment))),
         });
@@ -513,7 +519,7 @@
         let Some(node) = &mut slot.node else {
             return;
         };
-        let effects = node.handle(now, event);
+        let effects = node.handle(Time::ZERO + (now - slot.started), event);
         for effect in effects {
             self.carry_out(host, life, effect);
         }
@@ -526,7 +532,7 @@
         let Some(wake) = slot.node.as_mut().and_then(Node::next_wake) else {
             return;
         };
-        let wake = wake.max(now);
+        let wake = (slot.started + (wake - Time::ZERO)).max(now);
         if slot.wake.is_some_and(|set| set <= wake && set > now) {
             return;
         }
@@ -612,6 +618,7 @@
             listing,
             node: None,
             life: 0,
+            started: Time::ZERO,
             paused_until: Time::ZERO,
             wake: None,
             drained: false,
