--- a/crates/replay/tests/promises.rs
+++ b/crates/replay/tests/promises.rs
@@ -166,7 +166,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: attainment at saturation for the second user"]
 fn attainment_at_saturation_for_the_second_user() {
     let (ours, naive) = against_naive("atlas", Scenario::Surge);
     let (ours, naive) = (ours.met_per_accelerator, naive.met_per_accelerator);
