Refusal reasons that nothing gives are gone; listings of versions show no row counts

The ledger answers unknown (record-unread) where not-recorded and busy were meant to be; a listing of versions comes without rows and printed 0.

--- a/crates/client/src/print.rs
+++ b/crates/client/src/print.rs
@@ -52,8 +52,8 @@
         Answer::History { versions } => {
             for version in versions {
                 println!(
-                    "{:>8}  {:<20}  {:>6} rows  {}",
-                    version.version, version.author, version.rows, version.change
+                    "{:>8}  {:<20}  {}",
+                    version.version, version.author, version.change
                 );
             }
         }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -79,12 +79,8 @@
         RetryBudget = "retry-budget",
         /// The request is suspected of crashing upstreams.
         Suspect = "suspect",
-        /// The intent of a non-repeatable request could not be recorded.
-        NotRecorded = "not-recorded",
         /// The idempotency key was used with another body.
         KeyReused = "key-reused",
-        /// The same request is being decided elsewhere at this moment.
-        Busy = "busy",
         /// The host is shutting down.
         Draining = "draining",
         /// The upstream refused the request before running it.
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -35,7 +35,11 @@
             reason: "the key-value service cannot be read".to_owned(),
         },
         Some(tables) => Answer::History {
-            versions: tables.iter().map(|table| version(table, true)).collect(),
+            // A listing of many versions comes without their rows.
+            versions: tables
+                .iter()
+                .map(|table| version(table, !table.rows.is_empty()))
+                .collect(),
         },
     }
 }
@@ -46,7 +50,7 @@
         version: table.version,
         change: table.change.clone(),
         author: table.author.clone(),
-        rows: table.rows.len(),
+        rows: whole.then(|| table.rows.len()),
         csv: if whole {
             csv::render(&table.rows)
         } else {
--- a/crates/host/src/operator.rs
+++ b/crates/host/src/operator.rs
@@ -119,8 +119,8 @@
     pub change: Name,
     /// Who accepted it.
     pub author: Name,
-    /// Rows in it.
-    pub rows: usize,
+    /// Rows in it; `None` in listings.
+    pub rows: Option<usize>,
     /// The table as CSV; empty in listings.
     pub csv: String,
 }
