--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -69,6 +69,12 @@
     let leave = daemon.handle();
     match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
         Ok(mut signals) => {
+            let identity = daemon.identity();
+            let note = Note::new(Level::Info, "started")
+                .with("caller_address", &identity.address)
+                .with("peer_address", &identity.peer_address)
+                .with("admin_address", daemon.admin_address());
+            logging::write("host", &note);
             thread::spawn(move || {
                 let mut leaving = false;
                 for signal in signals.forever() {
