A repeated change takes effect once, also after another; a host that is alone plans

Causes: a command without its parent took the version then in force as parent, so a repeat was another change (versions 2 and 3); and the areas hear of the view when it changes, which for a single host is never, so it held no cell and ordered no load. Changes: every accept names its parent, which the client reads first and prints; the host tells its areas the first view. A head without end stays red: the HTTP library bounds none.

--- a/crates/client/src/cmd/demo.rs
+++ b/crates/client/src/cmd/demo.rs
@@ -190,7 +190,7 @@
         let begin = Instant::now();
         // Hosts may still be meeting each other.
         while begin.elapsed() < LOAD_TIMEOUT {
-            match self.cluster.accept(rows, change) {
+            match self.cluster.accept(rows, change, version - 1) {
                 Ok(Answer::Accepted { .. }) => break,
                 Ok(Answer::Invalid { problems }) => {
                     self.broken
--- a/crates/client/src/cmd/table.rs
+++ b/crates/client/src/cmd/table.rs
@@ -84,9 +84,9 @@
     /// Version that the change was made from; the one in force by default.
     #[arg(long)]
     parent: Option<u64>,
-    /// Id of the change. Give the printed one to repeat a command whose outcome is not
-    /// known: it takes effect once.
-    #[arg(long)]
+    /// Id of the change. Give the printed one, with the printed parent, to repeat a command
+    /// whose outcome is not known: it takes effect once.
+    #[arg(long, requires = "parent")]
     change: Option<String>,
     /// Who accepts.
     #[arg(long)]
@@ -165,12 +165,16 @@
 
 fn accept(link: &mut Link, csv: String, terms: Terms, json: bool) -> Result {
     let change = terms.change.unwrap_or_else(new_change);
+    let parent = match terms.parent {
+        Some(parent) => parent,
+        None => in_force(link)?,
+    };
     if !json {
-        println!("Change id: {change}");
+        println!("Change id: {change}, made from version {parent}.");
     }
     let answer = link.ask(&Ask::Accept {
         csv,
-        parent: terms.parent,
+        parent,
         change: change.into(),
         author: terms.author.unwrap_or_else(user).into(),
     })?;
@@ -181,6 +185,16 @@
     }
 }
 
+/// The version in force on the asked host; 0 for none.
+fn in_force(link: &mut Link) -> Result<u64> {
+    match link.ask(&Ask::Progress)? {
+        Answer::Progress { version, .. } => Ok(version),
+        answer => Err(Error::Unexpected {
+            answer: format!("{answer:?}"),
+        }),
+    }
+}
+
 fn new_change() -> String {
     format!("{:032x}", rand::rng().random::<u128>())
 }
--- a/crates/host/src/actors/member.rs
+++ b/crates/host/src/actors/member.rs
@@ -58,6 +58,9 @@
             router,
             planner,
         });
+        // A host that is alone never sees its view change.
+        let view = self.machine.view();
+        self.tell(cx, Output::View(view));
         self.input(cx, Input::Wake);
     }
 
--- a/crates/host/src/commands.rs
+++ b/crates/host/src/commands.rs
@@ -83,7 +83,7 @@
         &mut self,
         ticket: u64,
         text: &str,
-        parent: Option<u64>,
+        parent: u64,
         change: Name,
         author: Name,
     ) -> Option<Answer> {
@@ -91,12 +91,11 @@
             Err(answer) => return Some(answer),
             Ok(rows) => rows,
         };
-        let current = self.table().map_or(0, |table| table.version);
         call!(
             [self.member],
             input(mulberryrack_member::Input::Accept {
                 ticket,
-                parent: parent.unwrap_or(current),
+                parent,
                 change,
                 author,
                 rows,
--- a/crates/host/src/operator.rs
+++ b/crates/host/src/operator.rs
@@ -16,8 +16,9 @@
     Accept {
         /// The table as CSV.
         csv: String,
-        /// The version that was edited; `None` for the one in force.
-        parent: Option<u64>,
+        /// The version that was edited, 0 for the first table; the same when the command is
+        /// repeated.
+        parent: u64,
         /// Unique id of the change; the same when the command is repeated.
         change: Name,
         /// Who accepts.
--- a/crates/load/examples/first_token.rs
+++ b/crates/load/examples/first_token.rs
@@ -30,7 +30,7 @@
     settings.place.parallel_loads = 50;
     let cluster = Cluster::start(&deployment, 2, settings).expect("free ports");
     while !matches!(
-        cluster.accept(&deployment.table, "first"),
+        cluster.accept(&deployment.table, "first", 0),
         Ok(Answer::Accepted { .. })
     ) {
         thread::sleep(Duration::from_millis(100));
--- a/crates/load/src/cluster.rs
+++ b/crates/load/src/cluster.rs
@@ -201,15 +201,16 @@
         Link::open(&self.operators(), None)?.ask(command)
     }
 
-    /// Accepts a table under a change id, again and again until the answer is final.
+    /// Accepts a table that was edited from version `parent`, under a change id. Both stay
+    /// the same when the command is repeated.
     ///
     /// # Errors
     ///
     /// No answer came.
-    pub fn accept(&self, rows: &[Row], change: &str) -> Result<Answer, Error> {
+    pub fn accept(&self, rows: &[Row], change: &str, parent: u64) -> Result<Answer, Error> {
         self.ask(&Command::Accept {
             csv: csv::render(rows),
-            parent: None,
+            parent,
             change: change.into(),
             author: "operator".into(),
         })
--- a/crates/replay/src/faults.rs
+++ b/crates/replay/src/faults.rs
@@ -1,6 +1,7 @@
 //! What goes wrong, and until when.
 
 use crate::{
+    node::Node,
     trace::Act,
     world::{Happening, HostKey, Version, World},
 };
@@ -136,9 +137,16 @@
             Version::Ours => running.take(1).collect(),
             Version::Naive => running.collect(),
         };
+        let first = told
+            .first()
+            .and_then(|host| self.hosts[*host].node.as_mut());
+        let parent = match first {
+            Some(Node::Ours(host)) => host.table().map_or(0, |table| table.version),
+            _ => 0,
+        };
         let command = Command::Accept {
             csv,
-            parent: None,
+            parent,
             change: format!("{table}-{}", self.now).into(),
             author: "replay".into(),
         };
