--- a/crates/replay/src/caller.rs
+++ b/crates/replay/src/caller.rs
@@ -1,8 +1,9 @@
 //! Callers: they ask which host to use, send, and send again what may be sent again.
 
 use crate::{
+    parts::{Happening, Slot},
     trace::Request as Asked,
-    world::{Happening, HostKey, Slot, World},
+    world::{HostKey, World},
 };
 use bytes::Bytes;
 use mulberryrack_core::{
--- a/crates/replay/src/faults.rs
+++ b/crates/replay/src/faults.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     node::Node,
+    parts::Happening,
     trace::Act,
-    world::{Happening, HostKey, Version, World},
+    world::{HostKey, Version, World},
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_host::{Event, operator::Command};
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod judge;
 pub mod naive;
 pub mod node;
+mod parts;
 mod platform;
 pub mod queue;
 pub mod report;
--- a/crates/replay/src/platform.rs
+++ b/crates/replay/src/platform.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     node::Node,
-    world::{CALL_TIMEOUT, Happening, HostKey, KV_LATENCY, Watch, World},
+    parts::{Happening, Watch},
+    world::{CALL_TIMEOUT, HostKey, KV_LATENCY, World},
 };
 use mulberryrack_core::kv;
 use mulberryrack_host::{Area, Event};
--- a/crates/replay/src/upstreams.rs
+++ b/crates/replay/src/upstreams.rs
@@ -1,7 +1,8 @@
 //! Engines, services and the weight store of a replay.
 
-use crate::world::{
-    EXCHANGE_TIMEOUT, Exchange, ExchangeKind, Happening, HostKey, KeyRun, TO_UPSTREAM, World,
+use crate::{
+    parts::{Exchange, ExchangeKind, Happening},
+    world::{EXCHANGE_TIMEOUT, HostKey, KeyRun, TO_UPSTREAM, World},
 };
 use mulberryrack_core::{
     Name, Time,
