--- a/crates/host/src/actors/member.rs
+++ b/crates/host/src/actors/member.rs
@@ -83,24 +83,10 @@
         if let Input::Accept { ticket, rows, .. } = &input {
             self.proposals.insert(*ticket, rows.clone());
         }
-        let now = self.shared.now(cx);
-        let mut outputs = Vec::new();
-        self.machine.handle(now, input, &mut outputs);
-        for output in outputs {
-            self.output(cx, output);
-        }
-        let base = self.shared.base;
-        let this = cx.this().clone();
-        self.alarm
-            .set(cx, base, self.machine.next_wake(), |core, instant| {
-                at!(instant, [this, core], wake())
-            });
+        self.step(cx, input);
     }
 
-    fn wake(&mut self, cx: CX![]) {
-        self.alarm.fired();
-        self.input(cx, Input::Wake);
-    }
+    steps!();
 
     fn output(&mut self, cx: CX![], output: Output) {
         let shared = self.shared.clone();
--- a/crates/host/src/actors/mod.rs
+++ b/crates/host/src/actors/mod.rs
@@ -1,5 +1,34 @@
 //! The areas of a host as actors that pass each other's outputs on.
 
+/// Methods that every area's actor has alike: `step` feeds its state machine one input,
+/// passes on what comes of it and moves the timer; `wake` is the timer's end.
+///
+/// Expects the fields `shared`, `machine` and `alarm`, the method `output`, and the area's
+/// `Input` in scope.
+macro_rules! steps {
+    () => {
+        fn step(&mut self, cx: CX![], input: Input) {
+            let now = self.shared.now(cx);
+            let mut outputs = Vec::new();
+            self.machine.handle(now, input, &mut outputs);
+            for output in outputs {
+                self.output(cx, output);
+            }
+            let base = self.shared.base;
+            let this = cx.this().clone();
+            self.alarm
+                .set(cx, base, self.machine.next_wake(), |core, instant| {
+                    at!(instant, [this, core], wake())
+                });
+        }
+
+        fn wake(&mut self, cx: CX![]) {
+            self.alarm.fired();
+            self.step(cx, Input::Wake);
+        }
+    };
+}
+
 mod alarm;
 mod ledger;
 mod member;
--- a/crates/host/src/actors/planner.rs
+++ b/crates/host/src/actors/planner.rs
@@ -43,24 +43,10 @@
 
     /// Feeds one input and passes on what comes of it.
     pub fn input(&mut self, cx: CX![], input: Input) {
-        let now = self.shared.now(cx);
-        let mut outputs = Vec::new();
-        self.machine.handle(now, input, &mut outputs);
-        for output in outputs {
-            self.output(cx, output);
-        }
-        let base = self.shared.base;
-        let this = cx.this().clone();
-        self.alarm
-            .set(cx, base, self.machine.next_wake(), |core, instant| {
-                at!(instant, [this, core], wake())
-            });
+        self.step(cx, input);
     }
 
-    fn wake(&mut self, cx: CX![]) {
-        self.alarm.fired();
-        self.input(cx, Input::Wake);
-    }
+    steps!();
 
     fn output(&mut self, cx: CX![], output: Output) {
         let shared = self.shared.clone();
