--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -5,13 +5,14 @@
 
 use std::{env, error::Error, fs, path::Path, process::ExitCode};
 
-const FILES: [&str; 6] = [
+const FILES: [&str; 7] = [
     "member.proto",
     "ledger.proto",
     "route.proto",
     "place.proto",
     "peer.proto",
     "operator.proto",
+    "plan.proto",
 ];
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
--- a/crates/core/src/kv.rs
+++ b/crates/core/src/kv.rs
@@ -149,6 +149,8 @@
 pub enum Fault {
     /// The service certainly did nothing (connection refused, call never sent).
     NotApplied,
+    /// The changes that a watch was to go on from are no longer kept: read all anew.
+    HistoryGone,
     /// The answer was lost: a write may or may not have taken effect, now or later.
     Unknown,
 }
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -1,7 +1,7 @@
 //! Command line of the daemon.
 
-use crate::{Daemon, config::Config, logging};
-use clap::Parser;
+use crate::{Daemon, config::Config, logging, site};
+use clap::{Parser, Subcommand};
 use mulberryrack_core::note::{Level, Note};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
@@ -20,16 +20,26 @@
 /// that names it, then ends with 0. A second one ends it at once with 3. SIGHUP is
 /// ignored: settings are read at start only, the operators' table needs no signal.
 #[derive(Debug, Parser)]
-#[command(version)]
+#[command(version, args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 pub struct Args {
+    /// What to run instead of a host of the product's own deployment.
+    #[command(subcommand)]
+    pub command: Option<Command>,
     /// File with the settings, in INI form.
-    #[arg(long, value_name = "FILE")]
-    pub config: PathBuf,
+    #[arg(long, value_name = "FILE", required = true)]
+    pub config: Option<PathBuf>,
     /// Only checks the settings: 0 if they can be used, 2 if not.
     #[arg(long)]
     pub check_config: bool,
 }
 
+/// What else the daemon can run.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Runs a host on the users' platform.
+    Site(site::Args),
+}
+
 /// Runs the daemon with the arguments of the process.
 #[must_use]
 pub fn main() -> ExitCode {
@@ -37,7 +47,12 @@
 }
 
 fn run(args: &Args) -> ExitCode {
-    let config = match Config::read(&args.config) {
+    let path = match (&args.command, &args.config) {
+        (Some(Command::Site(args)), _) => return site::run(args),
+        (None, Some(path)) => path,
+        (None, None) => unreachable!("clap asks for --config without a subcommand"),
+    };
+    let config = match Config::read(path) {
         Ok(config) => config,
         Err(error) => {
             eprintln!("{error}");
@@ -45,7 +60,7 @@
         }
     };
     if args.check_config {
-        println!("{}: the settings can be used", args.config.display());
+        println!("{}: the settings can be used", path.display());
         return ExitCode::SUCCESS;
     }
     if let Err(error) = logging::start(&config.log) {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -218,7 +218,7 @@
     /// Every problem, each with the section and key.
     pub fn parse(text: &str) -> Result<Self, Error> {
         let ini = load(text)?;
-        let mut problems = unknown_sections(&ini);
+        let mut problems = unknown_sections(&ini, &SECTIONS);
         let config = Self {
             host: section(&ini, "host", &mut problems),
             platform: section(&ini, "platform", &mut problems),
@@ -294,7 +294,7 @@
     }
 }
 
-fn load(text: &str) -> Result<Ini, Error> {
+pub(crate) fn load(text: &str) -> Result<Ini, Error> {
     Ini::load_from_str(text).map_err(|error| Error {
         problems: vec![format!("settings: {error}")],
     })
@@ -309,21 +309,21 @@
     }
 }
 
-fn unknown_sections(ini: &Ini) -> Vec<String> {
+pub(crate) fn unknown_sections(ini: &Ini, known: &[&str]) -> Vec<String> {
     ini.sections()
         .flatten()
-        .filter(|name| !SECTIONS.contains(name))
+        .filter(|name| !known.contains(name))
         .map(|name| {
             format!(
                 "[{name}] is not a section{}",
-                nearest(name, SECTIONS.into_iter())
+                nearest(name, known.iter().copied())
             )
         })
         .collect()
 }
 
 /// Reads one section over the defaults; notes every unknown key and wrong value.
-fn section<T>(ini: &Ini, name: &str, problems: &mut Vec<String>) -> T
+pub(crate) fn section<T>(ini: &Ini, name: &str, problems: &mut Vec<String>) -> T
 where
     T: Default + Serialize + DeserializeOwned,
 {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod peer;
+pub mod site;
 mod platform;
 mod pool;
 mod response;
--- /dev/null
+++ b/crates/daemon/src/site.rs
@@ -0,0 +1,216 @@
+//! `mulberryrackd site`: a host on the users' platform.
+
+use crate::{
+    config::{self, Error, Log},
+    logging,
+};
+use clap::Parser;
+use mulberryrack_platform::Platform;
+use mulberryrack_site::{Settings, settings::Bounds};
+use serde::{Deserialize, Serialize};
+use serde_with::{
+    DisplayFromStr, DurationMilliSeconds, DurationSecondsWithFrac, PickFirst, serde_as,
+};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
+
+/// Arguments of `mulberryrackd site`.
+#[derive(Debug, Parser)]
+pub struct Args {
+    /// File with the settings, in INI form.
+    #[arg(long, value_name = "FILE", env = "MULBERRYRACK_CONFIG")]
+    pub config: PathBuf,
+    /// Only checks the settings: 0 if they can be used, 2 if not.
+    #[arg(long)]
+    pub check_config: bool,
+}
+
+/// `[host]`: who the host is and where it listens.
+#[serde_as]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Host {
+    /// Unique name.
+    name: Arc<str>,
+    /// Data centre that it stands in.
+    data_centre: Arc<str>,
+    /// IP number for traffic between hosts.
+    ip: Arc<str>,
+    /// `IP:port` for callers.
+    caller_address: Arc<str>,
+    /// `IP:port` for the platform's checks.
+    readiness_address: Arc<str>,
+    /// `IP:port` for address questions.
+    directory_address: Arc<str>,
+    /// Port for the other hosts.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    peer_port: u16,
+    /// Port for metrics.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    metrics_port: u16,
+    /// Descriptors that the process may use.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    descriptors: usize,
+}
+
+/// `[store]`: the key-value service.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Store {
+    /// `IP:port`.
+    address: Arc<str>,
+    /// Shortest time to live of a lease.
+    #[serde(rename = "lease_min_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    lease_min: Duration,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            address: "".into(),
+            lease_min: Duration::from_secs(1),
+        }
+    }
+}
+
+/// `[bounds]`: what the deployment is held to.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Limits {
+    /// Time from the stop signal to the kill.
+    #[serde(rename = "grace_s")]
+    #[serde_as(as = "PickFirst<(DurationSecondsWithFrac<f64>, DurationSecondsWithFrac<String>)>")]
+    grace: Duration,
+    /// Repeats as a share of requests.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    retry_share: f64,
+    /// Repeats beyond the share, over all hosts.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    retry_extra: f64,
+    /// Window in which repeats are counted.
+    #[serde(rename = "retry_window_s")]
+    #[serde_as(as = "PickFirst<(DurationSecondsWithFrac<f64>, DurationSecondsWithFrac<String>)>")]
+    retry_window: Duration,
+    /// Time between orders of two hosts to one engine.
+    #[serde(rename = "order_lease_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    order_lease: Duration,
+    /// Window in which loads from the weight store are counted.
+    #[serde(rename = "load_window_s")]
+    #[serde_as(as = "PickFirst<(DurationSecondsWithFrac<f64>, DurationSecondsWithFrac<String>)>")]
+    load_window: Duration,
+    /// Longest time that callers keep an address answer.
+    #[serde(rename = "address_ttl_s")]
+    #[serde_as(as = "PickFirst<(DurationSecondsWithFrac<f64>, DurationSecondsWithFrac<String>)>")]
+    address_ttl: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            grace: Duration::from_secs(8),
+            retry_share: 0.2,
+            retry_extra: 50.0,
+            retry_window: Duration::from_secs(10),
+            order_lease: Duration::from_secs(3),
+            load_window: Duration::from_secs(5),
+            address_ttl: Duration::from_secs(5),
+        }
+    }
+}
+
+const SECTIONS: [&str; 4] = ["host", "store", "bounds", "log"];
+
+/// Reads settings; every problem is told.
+fn parse(text: &str) -> Result<(Settings, Log), Error> {
+    let ini = config::load(text)?;
+    let mut problems = config::unknown_sections(&ini, &SECTIONS);
+    let host: Host = config::section(&ini, "host", &mut problems);
+    let store: Store = config::section(&ini, "store", &mut problems);
+    let bounds: Limits = config::section(&ini, "bounds", &mut problems);
+    let log: Log = config::section(&ini, "log", &mut problems);
+    let mut address = |section: &str, key: &str, text: &str| {
+        text.parse().unwrap_or_else(|_| {
+            let problem = format!("[{section}] {key} = {text:?} is not an IP number with a port");
+            problems.push(problem);
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        })
+    };
+    let callers = address("host", "caller_address", &host.caller_address);
+    let readiness = address("host", "readiness_address", &host.readiness_address);
+    let directory = address("host", "directory_address", &host.directory_address);
+    let store_address = address("store", "address", &store.address);
+    let ip: IpAddr = host.ip.parse().unwrap_or_else(|_| {
+        problems.push(format!("[host] ip = {:?} is not an IP number", host.ip));
+        callers.ip()
+    });
+    if host.name.is_empty() || host.data_centre.is_empty() {
+        problems.push("[host] name and data_centre must be set".into());
+    }
+    if !problems.is_empty() {
+        return Err(Error { problems });
+    }
+    let settings = Settings {
+        host: host.name,
+        data_centre: host.data_centre,
+        callers,
+        readiness,
+        directory,
+        peers: SocketAddr::new(ip, host.peer_port),
+        metrics: SocketAddr::new(ip, host.metrics_port),
+        store: store_address,
+        lease_min: store.lease_min,
+        bounds: Bounds {
+            grace: bounds.grace,
+            retry_share: bounds.retry_share,
+            retry_extra: bounds.retry_extra,
+            retry_window: bounds.retry_window,
+            order_lease: bounds.order_lease,
+            load_window: bounds.load_window,
+            address_ttl: bounds.address_ttl,
+        },
+        sockets: host.descriptors,
+    };
+    Ok((settings, log))
+}
+
+fn read(args: &Args) -> Result<(Settings, Log), Error> {
+    let text = std::fs::read_to_string(&args.config).map_err(|error| Error {
+        problems: vec![format!("{}: {error}", args.config.display())],
+    })?;
+    parse(&text)
+}
+
+/// Runs a host until it is told to end.
+pub fn run(args: &Args) -> ExitCode {
+    let (settings, log) = match read(args) {
+        Ok(read) => read,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(crate::args::EXIT_SETTINGS);
+        }
+    };
+    if args.check_config {
+        println!("{}: the settings can be used", args.config.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = logging::start(&log) {
+        eprintln!("{error}");
+        return ExitCode::from(crate::args::EXIT_SETTINGS);
+    }
+    match mulberryrack_edge::run(settings, Platform) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(target: "host", "event=start-failed error={error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/caller.rs
@@ -0,0 +1,263 @@
+//! The server for callers.
+
+use crate::{
+    doors,
+    exchange::{self, Part},
+    journal::journal,
+    peers::Link,
+    shared::{Phase, Shared},
+};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header, request};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use mulberryrack_core::outcome::{Reason, Refusal};
+use mulberryrack_site::{
+    Ask, Dialect,
+    ask::Fault,
+    config::Limits,
+};
+use std::{
+    convert::Infallible,
+    fmt,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task, time,
+};
+
+/// Parts of an answer that wait for a caller to take them.
+const PARTS: usize = 8;
+/// Smallest buffer that the HTTP library takes for a connection.
+const LEAST_BUFFER: usize = 8_192;
+/// Limits until the first configuration is known.
+const FIRST_LIMITS: Limits = Limits {
+    head_bytes: 16_384,
+    body_bytes: 1 << 20,
+    head_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// An answer was given up after its head went out.
+#[derive(Clone, Copy, Debug)]
+pub struct GivenUp;
+
+impl fmt::Display for GivenUp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer cannot be completed")
+    }
+}
+
+impl std::error::Error for GivenUp {}
+
+/// The body of an answer.
+pub enum Answer {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Parts as they come; without [`Part::End`] it is broken off.
+    Parts(mpsc::Receiver<Part>),
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = GivenUp;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, GivenUp>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Parts(parts) => parts.poll_recv(context).map(|part| match part {
+                Some(Part::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Part::End) => None,
+                Some(Part::Head(_) | Part::Whole(_)) | None => Some(Err(GivenUp)),
+            }),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                SizeHint::with_exact(u64::try_from(length).unwrap_or(u64::MAX))
+            }
+            Self::Parts(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Serves callers until the host closes.
+pub async fn serve<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<Link>, listener: TcpListener) {
+    loop {
+        let phased = shared.phased.notified();
+        if shared.phase.get() == Phase::Closing {
+            return;
+        }
+        tokio::select! {
+            stream = doors::accept(&listener) => {
+                task::spawn_local(connection(shared.clone(), link.clone(), stream));
+            }
+            () = phased => {}
+        }
+    }
+}
+
+fn limits<D>(shared: &Shared<D>) -> Limits {
+    let gate = shared.gate.borrow();
+    gate.config().map_or(FIRST_LIMITS, |config| config.limits)
+}
+
+async fn connection<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<Link>, stream: TcpStream) {
+    if shared.connections.get() >= shared.settings.sockets / 2 {
+        journal!(warn, "connection-refused", open = shared.connections.get());
+        return;
+    }
+    shared.connections.set(shared.connections.get() + 1);
+    let limits = limits(&shared);
+    let service = service_fn(|request| {
+        let (shared, link) = (shared.clone(), link.clone());
+        async move { Ok::<_, Infallible>(serve_request(shared, link, request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the time between requests as part of the next head.
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut served = std::pin::pin!(served);
+    loop {
+        let phased = shared.phased.notified();
+        if shared.phase.get() == Phase::Closing {
+            served.as_mut().graceful_shutdown();
+        }
+        tokio::select! {
+            ended = served.as_mut() => {
+                if let Err(error) = ended {
+                    journal!(debug, "caller-connection-broken", error = error);
+                }
+                break;
+            }
+            () = phased => {}
+        }
+    }
+    shared.connections.set(shared.connections.get() - 1);
+}
+
+async fn serve_request<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    link: Rc<Link>,
+    request: Request<Incoming>,
+) -> Response<Answer> {
+    shared.last_request.set(shared.clock.now());
+    let (head, body) = request.into_parts();
+    let limits = limits(&shared);
+    let read = read_body(&limits, body).await;
+    let mut response = match (shared.dialect.ask(&head), read) {
+        (Ok(ask), Ok(body)) => exchange(&shared, link, head, ask, body).await,
+        (ask, Err(status)) => {
+            let attempt = ask.ok().map(|ask| ask.attempt);
+            refuse_malformed(&shared, attempt.as_deref(), status, "body")
+        }
+        (Err(fault), Ok(_)) => {
+            let field = match fault {
+                Fault::NoAttempt => "attempt",
+                Fault::NoHost => "host",
+                Fault::Malformed(field) => field,
+            };
+            refuse_malformed(&shared, None, StatusCode::BAD_REQUEST, field)
+        }
+    };
+    if shared.leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn read_body(limits: &Limits, body: Incoming) -> Result<Bytes, StatusCode> {
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    match time::timeout(limits.idle_timeout, whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+fn refuse_malformed<D: Dialect>(
+    shared: &Shared<D>,
+    attempt: Option<&str>,
+    status: StatusCode,
+    field: &str,
+) -> Response<Answer> {
+    journal!(
+        warn,
+        "request-malformed",
+        id = attempt.unwrap_or("-"),
+        field = field,
+        status = status.as_u16(),
+    );
+    shared.metrics.ended("refused", Reason::BadRequest.label(), Duration::ZERO);
+    own_answer(shared, attempt, status, None)
+}
+
+/// An answer of the host's own, without a body.
+pub fn own_answer<D: Dialect>(
+    shared: &Shared<D>,
+    attempt: Option<&str>,
+    status: StatusCode,
+    retry_after: Option<Duration>,
+) -> Response<Answer> {
+    let mut response = Response::new(Answer::Whole(None));
+    *response.status_mut() = status;
+    *response.headers_mut() = shared.dialect.own_answer(attempt, retry_after);
+    response
+}
+
+async fn exchange<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    link: Rc<Link>,
+    head: request::Parts,
+    ask: Ask,
+    body: Bytes,
+) -> Response<Answer> {
+    let now = shared.clock.now();
+    let attempt = ask.attempt.clone();
+    let admitted = shared.gate.borrow_mut().admit(now, ask);
+    let pass = match admitted {
+        Ok(pass) => pass,
+        Err(refusal) => return refuse(shared, &attempt, refusal),
+    };
+    let (parts, mut taken) = mpsc::channel(PARTS);
+    task::spawn_local(exchange::run(shared.clone(), link, head, body, pass, parts));
+    match taken.recv().await {
+        Some(Part::Whole(response)) => response.map(|body| Answer::Whole(Some(body))),
+        Some(Part::Head(head)) => Response::from_parts(*head, Answer::Parts(taken)),
+        Some(Part::Data(_) | Part::End) | None => {
+            own_answer(shared, Some(&attempt), StatusCode::BAD_GATEWAY, None)
+        }
+    }
+}
+
+fn refuse<D: Dialect>(shared: &Shared<D>, attempt: &str, refusal: Refusal) -> Response<Answer> {
+    let Refusal { reason, retry_after } = refusal;
+    let status = match reason {
+        Reason::UnknownTarget => StatusCode::NOT_FOUND,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    shared.metrics.ended("refused", reason.label(), Duration::ZERO);
+    journal!(info, "refused", id = attempt, reason = reason.label(), status = status.as_u16());
+    own_answer(shared, Some(attempt), status, retry_after)
+}
--- /dev/null
+++ b/crates/edge/src/doors.rs
@@ -0,0 +1,83 @@
+//! Servers for readiness, address questions and metrics.
+
+use crate::{directory, journal::journal, shared::Shared, socket};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use mulberryrack_site::Dialect;
+use std::{convert::Infallible, rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task, time,
+};
+
+/// Time that a connection may take for its next head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections until the process ends.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = socket::prepare(&stream) {
+                    journal!(debug, "socket-options", error = error);
+                }
+                return stream;
+            }
+            Err(error) => {
+                journal!(warn, "accept-failed", error = error);
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves short questions on one address until the process ends.
+pub async fn serve<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let shared = shared.clone();
+        task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let answer = answer(&shared, request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                journal!(debug, "question-broken", error = error);
+            }
+        });
+    }
+}
+
+fn answer<D: Dialect>(shared: &Shared<D>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (head, _) = request.into_parts();
+    if shared.dialect.asks_ready(&head) {
+        let status = if shared.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        return status_only(status);
+    }
+    if shared.dialect.asks_addresses(&head) {
+        let (addresses, ttl) = directory::addresses(shared);
+        if addresses.is_empty() {
+            return status_only(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        return shared.dialect.addresses(&addresses, ttl).map(Full::new);
+    }
+    if head.uri.path() == "/metrics" {
+        return Response::new(Full::new(shared.metrics.text().into()));
+    }
+    status_only(StatusCode::NOT_FOUND)
+}
+
+fn status_only(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/edge/src/exchange.rs
@@ -0,0 +1,462 @@
+//! One request between its admission and its final answer.
+
+use crate::{
+    client::{Connection, Fault, Peer},
+    events::Splitter,
+    journal::journal,
+    peers::{self, Link},
+    shared::Shared,
+};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header, request, response, uri::PathAndQuery};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use mulberryrack_core::{
+    Time,
+    outcome::{Reason, Refusal, Retry},
+};
+use mulberryrack_gate::{Ending, Pass, Step, Target};
+use mulberryrack_site::{Dialect, ask::Send, upstream::Reply};
+use std::{rc::Rc, time::Duration};
+use tokio::{sync::mpsc, task, time};
+
+/// Largest answer of a plain service that is kept whole, so that a broken one can be
+/// replaced.
+const WHOLE_ANSWER: usize = 1 << 20;
+/// Largest event of a stream.
+const LARGEST_EVENT: usize = 1 << 20;
+/// Longest pause before a request that waits for a placement is looked at again.
+const PLACE_CHECK: Duration = Duration::from_millis(150);
+/// Least time without a first event after which a request is sent once more.
+const LEAST_SILENCE: Duration = Duration::from_millis(250);
+
+/// A part of an answer to a caller.
+pub enum Part {
+    /// A whole answer.
+    Whole(Response<Bytes>),
+    /// The head of a stream.
+    Head(Box<response::Parts>),
+    /// A part of a stream.
+    Data(Bytes),
+    /// The stream is complete.
+    End,
+}
+
+/// How one send ended, for the request.
+enum Sent {
+    /// The caller has its final answer, or is gone.
+    Over(Ending),
+    /// It may be sent once more.
+    Again(Ending, Retry),
+    /// As before, and this is the answer if it is not.
+    Failed(Response<Bytes>),
+}
+
+/// What the caller has of its answer.
+#[derive(Default)]
+struct Progress {
+    /// Whether the head went out.
+    begun: bool,
+    /// Id of the last event that went out.
+    last: Option<String>,
+    /// An upstream's failure, kept in case that no other answer comes.
+    failure: Option<Response<Bytes>>,
+}
+
+struct Exchange<D> {
+    shared: Rc<Shared<D>>,
+    head: request::Parts,
+    body: Bytes,
+    caller: mpsc::Sender<Part>,
+    progress: Progress,
+}
+
+/// Serves a request until its caller has a final answer or is gone.
+pub async fn run<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    link: Rc<Link>,
+    head: request::Parts,
+    body: Bytes,
+    mut pass: Pass,
+    caller: mpsc::Sender<Part>,
+) {
+    shared.open.set(shared.open.get() + 1);
+    shared.metrics.open.inc();
+    let mut exchange = Exchange {
+        shared: shared.clone(),
+        head,
+        body,
+        caller,
+        progress: Progress::default(),
+    };
+    exchange.serve(&mut pass, &link).await;
+    shared.metrics.open.dec();
+    shared.open.set(shared.open.get() - 1);
+}
+
+impl<D: Dialect> Exchange<D> {
+    async fn serve(&mut self, pass: &mut Pass, link: &Rc<Link>) {
+        let shared = self.shared.clone();
+        let mut retry = None;
+        loop {
+            let changed = shared.changed.notified();
+            let now = self.shared.clock.now();
+            let step = self.shared.gate.borrow_mut().step(now, pass, retry);
+            match step {
+                Step::Send(target) => match self.send(pass, &target).await {
+                    Sent::Over(ending) => return self.over(pass, &target, ending),
+                    Sent::Again(ending, why) => {
+                        self.note_send(pass, &target, ending);
+                        retry = Some(why);
+                    }
+                    Sent::Failed(answer) => {
+                        self.note_send(pass, &target, Ending::Failed);
+                        self.progress.failure = Some(answer);
+                        retry = Some(Retry::Broken);
+                    }
+                },
+                Step::Place(until) => {
+                    self.ask_for_placement(pass, link);
+                    let wake = self.shared.clock.instant(until.min(now + PLACE_CHECK));
+                    tokio::select! {
+                        () = changed => {}
+                        () = time::sleep_until(wake) => {}
+                        () = self.caller.closed() => return self.abandoned(pass),
+                    }
+                }
+                Step::Refuse(refusal) => return self.refuse(pass, refusal).await,
+                Step::Fail => return self.fail(pass).await,
+            }
+        }
+    }
+
+    fn ask_for_placement(&self, pass: &Pass, link: &Rc<Link>) {
+        let generation = pass.ask.generation.as_ref();
+        let Some((model, adapter)) = generation.and_then(|it| Some((&it.model, it.adapter.as_ref()?)))
+        else {
+            // Models are placed by the planner on its own account.
+            return;
+        };
+        let (shared, link) = (self.shared.clone(), link.clone());
+        task::spawn_local(peers::place(shared, link, model.clone(), adapter.clone()));
+    }
+
+    fn took(&self, pass: &Pass) -> Duration {
+        self.shared.clock.now().since(pass.arrived)
+    }
+
+    fn over(&self, pass: &mut Pass, target: &Target, ending: Ending) {
+        self.note_send(pass, target, ending);
+        let (outcome, reason) = match ending {
+            Ending::Done => ("ran", ""),
+            Ending::Abandoned => ("abandoned", Reason::CallerGone.label()),
+            _ => ("failed", "upstream"),
+        };
+        self.shared.metrics.ended(outcome, reason, self.took(pass));
+    }
+
+    /// Tells the gate and the log how a send ended.
+    fn note_send(&self, pass: &mut Pass, target: &Target, ending: Ending) {
+        let now = self.shared.clock.now();
+        self.shared.gate.borrow_mut().ended(now, pass, target.id, ending);
+        if ending != Ending::Done && ending != Ending::Abandoned {
+            self.shared.metrics.retried(target.retry.map_or("none", Retry::label));
+        }
+        let (running, waiting, age) = target.load.map_or((0, 0, 0), |(load, age)| {
+            (load.running, load.waiting, age.as_millis())
+        });
+        journal!(
+            info,
+            "sent",
+            id = pass.ask.attempt,
+            route = pass.route.name,
+            config = pass.version,
+            upstream = target.name,
+            candidates = target.candidates,
+            running = running,
+            waiting = waiting,
+            load_age_ms = age,
+            retry = target.retry.map_or("-", Retry::label),
+            ending = format_args!("{ending:?}"),
+            took_ms = self.took(pass).as_millis(),
+        );
+    }
+
+    fn abandoned(&self, pass: &Pass) {
+        let reason = Reason::CallerGone.label();
+        self.shared.metrics.ended("abandoned", reason, self.took(pass));
+        journal!(info, "abandoned", id = pass.ask.attempt, took_ms = self.took(pass).as_millis());
+    }
+
+    async fn refuse(&mut self, pass: &Pass, refusal: Refusal) {
+        let Refusal { reason, retry_after } = refusal;
+        self.note_end(pass, "refused", reason.label());
+        let whole = self.own(pass, StatusCode::SERVICE_UNAVAILABLE, retry_after);
+        self.tell(Part::Whole(whole)).await;
+    }
+
+    async fn fail(&mut self, pass: &Pass) {
+        let timely = pass.left(self.shared.clock.now()) > Duration::from_millis(5);
+        let reason = if timely { "upstream" } else { "timeout" };
+        self.note_end(pass, "failed", reason);
+        if self.progress.begun {
+            // Without its end the answer is broken off.
+            return;
+        }
+        let status = if timely { StatusCode::BAD_GATEWAY } else { StatusCode::GATEWAY_TIMEOUT };
+        let own = self.own(pass, status, None);
+        let answer = self.progress.failure.take().unwrap_or(own);
+        self.tell(Part::Whole(answer)).await;
+    }
+
+    fn note_end(&self, pass: &Pass, outcome: &'static str, reason: &'static str) {
+        let took = self.took(pass);
+        self.shared.metrics.ended(outcome, reason, took);
+        journal!(
+            warn,
+            "ended",
+            id = pass.ask.attempt,
+            route = pass.route.name,
+            config = pass.version,
+            outcome = outcome,
+            reason = reason,
+            sends = pass.sends(),
+            begun = self.progress.begun,
+            took_ms = took.as_millis(),
+        );
+    }
+
+    fn own(&self, pass: &Pass, status: StatusCode, retry_after: Option<Duration>) -> Response<Bytes> {
+        let mut response = Response::new(Bytes::new());
+        *response.status_mut() = status;
+        let attempt = Some(&*pass.ask.attempt);
+        *response.headers_mut() = self.shared.dialect.own_answer(attempt, retry_after);
+        response
+    }
+
+    /// Passes a part on; a caller that is gone is noticed by the next step.
+    async fn tell(&self, part: Part) {
+        drop(self.caller.send(part).await);
+    }
+
+    fn request(&self, pass: &Pass, target: &Target, now: Time) -> Request<Bytes> {
+        let send = Send {
+            upstream: target.name.clone(),
+            left: pass.left(now),
+            urgency: target.urgency,
+            resume_after: self.progress.last.as_deref().map(Into::into),
+        };
+        let path = self.head.uri.path_and_query().cloned();
+        let mut request = Request::new(self.body.clone());
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = path.unwrap_or_else(|| PathAndQuery::from_static("/")).into();
+        *request.headers_mut() = self.shared.dialect.forward(&self.head.headers, &send);
+        request
+    }
+
+    /// When a request that has had no event yet is sent once more, if it may be.
+    fn silence(&self, pass: &Pass, now: Time) -> Time {
+        let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
+        if !pass.repeatable(self.progress.begun) || pass.sends() >= most {
+            return pass.deadline;
+        }
+        let bound = if pass.route.streaming {
+            pass.route.objective.mul_f64(1.5)
+        } else {
+            pass.route.objective
+        };
+        pass.deadline.min(now + bound.max(LEAST_SILENCE))
+    }
+
+    async fn send(&mut self, pass: &mut Pass, target: &Target) -> Sent {
+        let now = self.shared.clock.now();
+        let until = self.shared.clock.instant(self.silence(pass, now));
+        let request = self.request(pass, target, now);
+        let peer = Peer {
+            address: target.address,
+            name: target.name.clone(),
+        };
+        let client = self.shared.client.clone();
+        let headed = async {
+            let mut connection = client.connect(peer, target.retry.is_some()).await?;
+            let (head, body) = connection.send(request).await?;
+            Ok((connection, head, body))
+        };
+        let headed = tokio::select! {
+            headed = headed => headed,
+            () = self.caller.closed() => return Sent::Over(Ending::Abandoned),
+            () = time::sleep_until(until) => Err(Fault::Silent),
+        };
+        let (connection, head, body) = match headed {
+            Ok(headed) => headed,
+            Err(Fault::NotSent) => return Sent::Again(Ending::NotSent, Retry::Refused),
+            Err(fault) => return Self::lost(fault),
+        };
+        let reply = self.shared.dialect.reply(&head);
+        if let Some(load) = reply.load {
+            let now = self.shared.clock.now();
+            self.shared.gate.borrow_mut().load(now, target.id, load);
+        }
+        if reply.attempt.as_ref().is_some_and(|id| *id != pass.ask.attempt) {
+            return Self::lost(Fault::Broken);
+        }
+        if reply.not_run {
+            return self.not_run(connection, body, &reply, head.status).await;
+        }
+        if !reply.signed || reply.attempt.is_none() {
+            return Self::lost(Fault::Broken);
+        }
+        if pass.route.streaming && head.status.is_success() {
+            return self.stream(pass, target, connection, head, body, &reply).await;
+        }
+        self.whole(pass, target, connection, head, body, &reply).await
+    }
+
+    async fn not_run(
+        &self,
+        connection: Connection,
+        body: Incoming,
+        reply: &Reply,
+        status: StatusCode,
+    ) -> Sent {
+        let read = time::timeout(LEAST_SILENCE, body.collect()).await;
+        if matches!(read, Ok(Ok(_))) && !reply.close {
+            connection.keep(reply.keep_alive);
+        }
+        let misplaced = status == StatusCode::MISDIRECTED_REQUEST;
+        let ending = if misplaced { Ending::Misplaced } else { Ending::NotRun };
+        Sent::Again(ending, Retry::Turned)
+    }
+
+    /// The answer is lost; the request may have run.
+    const fn lost(fault: Fault) -> Sent {
+        match fault {
+            Fault::Silent => Sent::Again(Ending::Silent, Retry::Silent),
+            Fault::Broken | Fault::NotSent => Sent::Again(Ending::Broken, Retry::Broken),
+        }
+    }
+
+    async fn whole(
+        &mut self,
+        pass: &mut Pass,
+        target: &Target,
+        connection: Connection,
+        mut head: response::Parts,
+        mut body: Incoming,
+        reply: &Reply,
+    ) -> Sent {
+        let until = self.shared.clock.instant(pass.deadline);
+        let mut bytes = Vec::new();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.caller.closed() => return Sent::Over(Ending::Abandoned),
+                () = time::sleep_until(until) => return Self::lost(Fault::Silent),
+            };
+            match frame {
+                None => break,
+                Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |it| it)),
+                Some(Err(_)) => return Self::lost(Fault::Broken),
+            }
+            if bytes.len() > WHOLE_ANSWER {
+                return Self::lost(Fault::Broken);
+            }
+        }
+        if !reply.close {
+            connection.keep(reply.keep_alive);
+        }
+        head.headers = self.shared.dialect.answer(&head.headers);
+        head.headers.remove(header::CONTENT_LENGTH);
+        let failed = head.status.is_server_error();
+        let answer = Response::from_parts(head, bytes.into());
+        if failed && pass.repeatable(self.progress.begun) {
+            return Sent::Failed(answer);
+        }
+        if self.progress.begun {
+            return Self::lost(Fault::Broken);
+        }
+        self.first(pass, target);
+        self.tell(Part::Whole(answer)).await;
+        Sent::Over(Ending::Done)
+    }
+
+    fn first(&self, pass: &mut Pass, target: &Target) {
+        self.shared.gate.borrow_mut().first_event(pass, target.id);
+        if !self.progress.begun {
+            self.shared.metrics.first_event(self.took(pass));
+        }
+    }
+
+    async fn stream(
+        &mut self,
+        pass: &mut Pass,
+        target: &Target,
+        connection: Connection,
+        head: response::Parts,
+        mut body: Incoming,
+        reply: &Reply,
+    ) -> Sent {
+        let mut splitter = Splitter::default();
+        let mut head = Some(head);
+        loop {
+            let now = self.shared.clock.now();
+            let until = if head.is_some() { self.silence(pass, now) } else { self.pause(pass, now) };
+            let until = self.shared.clock.instant(until);
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.caller.closed() => return Sent::Over(Ending::Abandoned),
+                () = time::sleep_until(until) => return Self::lost(Fault::Silent),
+            };
+            match frame {
+                Some(Ok(frame)) => splitter.push(frame.data_ref().map_or(&[], |it| it)),
+                Some(Err(_)) => return Self::lost(Fault::Broken),
+                None => break,
+            }
+            while let Some(event) = splitter.next_event() {
+                if let Some(head) = head.take() {
+                    self.first(pass, target);
+                    self.begin(head).await;
+                }
+                self.progress.last = event.id.or(self.progress.last.take());
+                self.tell(Part::Data(event.bytes)).await;
+            }
+            if splitter.len() > LARGEST_EVENT {
+                return Self::lost(Fault::Broken);
+            }
+        }
+        if let Some(head) = head.take() {
+            self.first(pass, target);
+            self.begin(head).await;
+        }
+        let rest = splitter.rest();
+        if !rest.is_empty() {
+            self.tell(Part::Data(rest)).await;
+        }
+        self.tell(Part::End).await;
+        if !reply.close {
+            connection.keep(reply.keep_alive);
+        }
+        Sent::Over(Ending::Done)
+    }
+
+    /// When a stream that pauses is given up by its upstream.
+    fn pause(&self, pass: &Pass, now: Time) -> Time {
+        let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
+        let may_resume = pass.repeatable(true) && pass.sends() < most;
+        match pass.route.gap.filter(|_| may_resume) {
+            Some(gap) => pass.deadline.min(now + (gap * 2).max(LEAST_SILENCE)),
+            None => pass.deadline,
+        }
+    }
+
+    /// Passes the head on, unless a run before has done so.
+    async fn begin(&mut self, mut head: response::Parts) {
+        if self.progress.begun {
+            return;
+        }
+        self.progress.begun = true;
+        head.headers = self.shared.dialect.answer(&head.headers);
+        head.headers.remove(header::CONTENT_LENGTH);
+        self.tell(Part::Head(Box::new(head))).await;
+    }
+}
--- /dev/null
+++ b/crates/edge/src/host.rs
@@ -0,0 +1,150 @@
+//! A whole host: its parts, from start to end.
+
+use crate::{
+    caller,
+    client::Client,
+    clock::Clock,
+    doors,
+    journal::journal,
+    membership,
+    metrics::Metrics,
+    orders,
+    peers::{self, Link},
+    shared::{Phase, Shared},
+    socket, watch,
+    store::Store,
+};
+use mulberryrack_core::{Time, hash};
+use mulberryrack_fleet::{Claim, Planner};
+use mulberryrack_gate::{Gate, Tuning};
+use mulberryrack_site::{Dialect, Settings};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::Notify,
+    task::{self, LocalSet},
+    time,
+};
+
+/// Time between two looks for kept connections that are past their time.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Time for which a host that leaves takes new connections: callers keep an address for
+/// three times its time to live at most.
+const LINGER: Duration = Duration::from_millis(3_300);
+/// Kept back from the grace period, for the end of the process itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two looks whether all requests have ended.
+const LAST_CHECK: Duration = Duration::from_millis(20);
+
+/// Runs a host until it is told to end.
+///
+/// # Errors
+///
+/// An address cannot be listened on, or the system gives no runtime.
+pub fn run<D: Dialect>(settings: Settings, dialect: D) -> io::Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(settings, Rc::new(dialect)))
+}
+
+fn share<D: Dialect>(settings: Settings, dialect: Rc<D>) -> Rc<Shared<D>> {
+    let bounds = settings.bounds;
+    let metrics = Rc::new(Metrics::new());
+    let tuning = Tuning {
+        retry_share: bounds.retry_share,
+        retry_extra: bounds.retry_extra,
+        retry_window: bounds.retry_window,
+        ..Tuning::default()
+    };
+    let seed = hash::stable(settings.host.as_bytes(), u64::from(std::process::id()));
+    Rc::new(Shared {
+        store: Store::new(dialect.clone(), settings.store, metrics.clone()),
+        dialect,
+        clock: Clock::start(),
+        client: Rc::new(Client::default()),
+        metrics,
+        gate: RefCell::new(Gate::new(tuning, seed)),
+        planner: RefCell::new(Planner::new(bounds.load_window)),
+        claim: RefCell::new(Claim::new(bounds.order_lease, bounds.order_lease)),
+        hosts: RefCell::default(),
+        holder: RefCell::default(),
+        phase: Cell::new(Phase::Starting),
+        changed: Notify::new(),
+        phased: Notify::new(),
+        open: Cell::new(0),
+        last_request: Cell::new(Time::ZERO),
+        connections: Cell::new(0),
+        settings,
+    })
+}
+
+async fn serve<D: Dialect>(settings: Settings, dialect: Rc<D>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let shared = share(settings, dialect);
+    let link = Rc::new(Link::default());
+    let settings = &shared.settings;
+    let callers = socket::listen(settings.callers)?;
+    for address in [settings.readiness, settings.directory, settings.metrics] {
+        task::spawn_local(doors::serve(shared.clone(), socket::listen(address)?));
+    }
+    task::spawn_local(peers::serve(shared.clone(), socket::listen(settings.peers)?));
+    task::spawn_local(caller::serve(shared.clone(), link.clone(), callers));
+    task::spawn_local(watch::run(shared.clone()));
+    task::spawn_local(orders::run(shared.clone()));
+    task::spawn_local(peers::report(shared.clone(), link));
+    task::spawn_local(sweep(shared.clone()));
+    let membership = task::spawn_local(membership::run(shared.clone()));
+    journal!(
+        info,
+        "started",
+        host = settings.host,
+        data_centre = settings.data_centre,
+        callers = settings.callers,
+        store = settings.store,
+    );
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // Settings are read at the start; nothing that may change is in them.
+            _ = hang_up.recv() => journal!(info, "reload", changed = 0),
+        }
+    }
+    leave(&shared).await;
+    if let Err(error) = membership.await {
+        journal!(warn, "membership-ended", error = error);
+    }
+    journal!(info, "ended", host = shared.settings.host, open = shared.open.get());
+    Ok(())
+}
+
+async fn sweep<D: Dialect>(shared: Rc<Shared<D>>) {
+    loop {
+        time::sleep(SWEEP_EVERY).await;
+        shared.client.sweep();
+    }
+}
+
+/// Serves who still comes, then waits for the last request.
+async fn leave<D>(shared: &Shared<D>) {
+    let start = shared.clock.now();
+    let end = start + shared.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    journal!(info, "leaving", open = shared.open.get(), connections = shared.connections.get());
+    shared.enter(Phase::Leaving);
+    time::sleep(LINGER).await;
+    shared.enter(Phase::Closing);
+    loop {
+        let idle = shared.open.get() == 0 && shared.connections.get() == 0;
+        if idle || shared.clock.now() >= end {
+            return;
+        }
+        time::sleep(LAST_CHECK).await;
+    }
+}
--- /dev/null
+++ b/crates/edge/src/membership.rs
@@ -0,0 +1,162 @@
+//! This host's own keys: its place among the hosts, and the claim to give orders.
+
+use crate::{
+    journal::journal,
+    seat::{CLAIM, SEATS, Seat},
+    shared::{Phase, Shared},
+};
+use bytes::Bytes;
+use mulberryrack_core::{
+    hash,
+    kv::{Lease, Op, Reply, Revision},
+};
+use mulberryrack_fleet::Stand;
+use mulberryrack_site::Dialect;
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::time;
+
+/// Time to live of this host's lease; a host that is gone is out of the address answers
+/// after it.
+const LEASE: Duration = Duration::from_millis(3_000);
+/// Time between two renewals: two may be lost before the lease lapses.
+const RENEWAL: Duration = Duration::from_millis(900);
+/// Longest random wait before a claim that is free is written, so that hosts do not all
+/// write at once.
+const CLAIM_SPREAD_MS: u64 = 300;
+
+/// The lease under which the keys lie, and what was written under it.
+#[derive(Default)]
+struct Tenancy {
+    lease: Option<Lease>,
+    /// Revision of the host's key, once written under the lease.
+    seat: Option<Revision>,
+}
+
+/// Keeps this host's keys until it leaves, then removes them.
+pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
+    let mut tenancy = Tenancy::default();
+    while !shared.leaving() {
+        keep(&shared, &mut tenancy).await;
+        let next = time::sleep(RENEWAL);
+        let phased = shared.phased.notified();
+        tokio::select! {
+            () = next => {}
+            () = phased => {}
+            () = shared.changed.notified() => claim_if_free(&shared, &tenancy).await,
+        }
+    }
+    shared.claim.borrow_mut().lost();
+    if let Some(lease) = tenancy.lease {
+        let ended = shared.store.call(&Op::Revoke { lease }).await;
+        journal!(info, "lease-ended", lease = lease.0, ok = ended.is_ok());
+    }
+}
+
+async fn keep<D: Dialect>(shared: &Shared<D>, tenancy: &mut Tenancy) {
+    let sent = shared.clock.now();
+    match tenancy.lease {
+        None => grant(shared, tenancy).await,
+        Some(lease) => match shared.store.call(&Op::Renew { lease }).await {
+            Ok(Reply::Renewed(true)) => shared.claim.borrow_mut().renewed(sent),
+            Ok(_) => {
+                journal!(warn, "lease-lost", lease = lease.0);
+                shared.claim.borrow_mut().lost();
+                *tenancy = Tenancy::default();
+                grant(shared, tenancy).await;
+            }
+            Err(fault) => {
+                journal!(warn, "lease-not-renewed", lease = lease.0, fault = format_args!("{fault:?}"));
+            }
+        },
+    }
+    if shared.phase.get() == Phase::Serving {
+        take_seat(shared, tenancy).await;
+        claim_if_free(shared, tenancy).await;
+    }
+}
+
+async fn grant<D: Dialect>(shared: &Shared<D>, tenancy: &mut Tenancy) {
+    let ttl = LEASE.max(shared.settings.lease_min);
+    match shared.store.call(&Op::Grant { ttl }).await {
+        Ok(Reply::Granted(lease)) => tenancy.lease = Some(lease),
+        other => journal!(warn, "lease-not-granted", outcome = format_args!("{other:?}")),
+    }
+}
+
+fn encode(seat: &Seat) -> Bytes {
+    serde_json::to_vec(seat).expect("a seat is plain data").into()
+}
+
+async fn take_seat<D: Dialect>(shared: &Shared<D>, tenancy: &mut Tenancy) {
+    let (Some(lease), None) = (tenancy.lease, tenancy.seat) else {
+        return;
+    };
+    let key: Arc<str> = format!("{SEATS}{}", shared.settings.host).into();
+    let mut expect = None;
+    // A key of this host's last life may still be there.
+    for _ in 0..2 {
+        let op = Op::Put {
+            key: key.clone(),
+            value: encode(&shared.seat()),
+            expect,
+            lease: Some(lease),
+        };
+        match shared.store.call(&op).await {
+            Ok(Reply::Written(revision)) => {
+                tenancy.seat = Some(revision);
+                journal!(info, "host-listed", revision = revision.0);
+                return;
+            }
+            Ok(Reply::Conflict(found)) => expect = found.map(|entry| entry.revision),
+            other => {
+                journal!(warn, "host-not-listed", outcome = format_args!("{other:?}"));
+                return;
+            }
+        }
+    }
+}
+
+async fn claim_if_free<D: Dialect>(shared: &Shared<D>, tenancy: &Tenancy) {
+    let holder = shared.holder.borrow().clone();
+    let now = shared.clock.now();
+    let mine = holder.as_ref().is_some_and(|(seat, _)| seat.host == shared.settings.host);
+    if let Some((_, revision)) = holder {
+        let fence = shared.claim.borrow().fence();
+        // A claim of this host's last life ends with its lease.
+        if fence.is_some() && (!mine || fence != Some(revision.0)) && fence < Some(revision.0) {
+            journal!(warn, "claim-lost", revision = revision.0);
+            shared.claim.borrow_mut().lost();
+        }
+        return;
+    }
+    let (Some(lease), Some(_)) = (tenancy.lease, tenancy.seat) else {
+        return;
+    };
+    if shared.claim.borrow().stand(now) != Stand::None {
+        return;
+    }
+    let seed = now.as_micros();
+    let wait = hash::stable(shared.settings.host.as_bytes(), seed) % CLAIM_SPREAD_MS;
+    time::sleep(Duration::from_millis(wait)).await;
+    if shared.holder.borrow().is_some() || shared.leaving() {
+        return;
+    }
+    let sent = shared.clock.now();
+    let op = Op::Put {
+        key: CLAIM.into(),
+        value: encode(&shared.seat()),
+        expect: None,
+        lease: Some(lease),
+    };
+    match shared.store.call(&op).await {
+        Ok(Reply::Written(revision)) => {
+            let now = shared.clock.now();
+            shared.claim.borrow_mut().gained(sent, now, revision);
+            shared.planner.borrow_mut().take_over(now);
+            *shared.holder.borrow_mut() = Some((shared.seat(), revision));
+            journal!(info, "claim-gained", fence = revision.0);
+        }
+        Ok(Reply::Conflict(_)) => {}
+        other => journal!(warn, "claim-not-written", outcome = format_args!("{other:?}")),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/orders.rs
@@ -0,0 +1,197 @@
+//! Sends the planner's orders, and asks engines for their state while orders are open.
+
+use crate::{
+    client::{Fault, Peer},
+    journal::journal,
+    shared::Shared,
+};
+use mulberryrack_core::Name;
+use mulberryrack_fleet::{Demand, Stand, Wish};
+use mulberryrack_site::{
+    Dialect, Order,
+    order::{Action, Verdict},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::{
+    task,
+    time::{self, Instant, MissedTickBehavior},
+};
+
+/// Time between two plans.
+const TICK: Duration = Duration::from_millis(200);
+/// Plans between two rounds of questions for engines' states.
+const TICKS_PER_ROUND: u32 = 2;
+/// Time for an engine to answer an order or a question.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which a request waits at the planner for its adapter.
+const PLACE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause before a placement is looked at again.
+const PLACE_PAUSE: Duration = Duration::from_millis(15);
+
+/// Plans and gives orders while this host holds the claim.
+pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
+    let mut ticks = time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut tick = 0u32;
+    loop {
+        ticks.tick().await;
+        tick = tick.wrapping_add(1);
+        let now = shared.clock.now();
+        if shared.claim.borrow().stand(now) != Stand::Holds {
+            continue;
+        }
+        if tick.is_multiple_of(TICKS_PER_ROUND) {
+            ask_unsettled(&shared);
+        }
+        let wishes = shared.planner.borrow_mut().plan(now);
+        for wish in wishes {
+            task::spawn_local(give(shared.clone(), wish));
+        }
+    }
+}
+
+fn ask_unsettled<D: Dialect>(shared: &Rc<Shared<D>>) {
+    let now = shared.clock.now();
+    let unsettled: Vec<Peer> = {
+        let planner = shared.planner.borrow();
+        let peers = planner.unsettled(now).map(|entry| Peer {
+            address: entry.address,
+            name: entry.id.clone(),
+        });
+        peers.collect()
+    };
+    for peer in unsettled {
+        let shared = shared.clone();
+        task::spawn_local(async move { ask(&shared, peer).await });
+    }
+}
+
+async fn ask<D: Dialect>(shared: &Shared<D>, peer: Peer) {
+    let request = shared.dialect.report_call(&peer.name);
+    let name = peer.name.clone();
+    let answer = shared.client.call(peer, request, CALL_TIMEOUT).await;
+    let report = match answer {
+        Ok(answer) => shared.dialect.report_answer(&answer),
+        Err(fault) => {
+            journal!(debug, "report-missing", engine = name, fault = format_args!("{fault:?}"));
+            None
+        }
+    };
+    if let Some(report) = report {
+        let now = shared.clock.now();
+        shared.planner.borrow_mut().report(now, &name, &report);
+    }
+}
+
+/// Gives an order, if this host may at this very moment.
+pub async fn give<D: Dialect>(shared: Rc<Shared<D>>, wish: Wish) {
+    let verdict = send(&shared, &wish).await;
+    let now = shared.clock.now();
+    shared.planner.borrow_mut().answered(now, &wish.engine, verdict);
+    let action = match wish.action {
+        Action::Load => "load",
+        Action::Unload => "unload",
+    };
+    shared.metrics.ordered(action, label(verdict));
+    journal!(
+        info,
+        "order",
+        engine = wish.engine,
+        action = action,
+        model = wish.model,
+        adapter = wish.adapter.as_deref().unwrap_or("-"),
+        why = wish.why,
+        after = wish.after,
+        verdict = label(verdict),
+    );
+    shared.changed.notify_waiters();
+}
+
+const fn label(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Accepted => "accepted",
+        Verdict::Held => "held",
+        Verdict::Conflict => "conflict",
+        Verdict::Fenced => "fenced",
+        Verdict::Refused => "refused",
+        Verdict::Unanswered => "unanswered",
+        Verdict::NotSent => "not-sent",
+    }
+}
+
+async fn send<D: Dialect>(shared: &Shared<D>, wish: &Wish) -> Verdict {
+    let Some(address) = shared.planner.borrow().address(&wish.engine) else {
+        return Verdict::NotSent;
+    };
+    let peer = Peer {
+        address,
+        name: wish.engine.clone(),
+    };
+    let connected = shared.client.connect(peer, false).await;
+    let Ok(mut connection) = connected else {
+        return Verdict::NotSent;
+    };
+    let now = shared.clock.now();
+    let (stand, fence) = {
+        let claim = shared.claim.borrow();
+        (claim.stand(now), claim.fence())
+    };
+    let (Stand::Holds, Some(fence)) = (stand, fence) else {
+        connection.keep(None);
+        return Verdict::NotSent;
+    };
+    let order = Order {
+        engine: wish.engine.clone(),
+        action: wish.action,
+        model: wish.model.clone(),
+        adapter: wish.adapter.clone(),
+        after: Some(wish.after),
+        holder: shared.settings.host.clone(),
+        fence,
+    };
+    let mut request = shared.dialect.order_call(&order);
+    let host = address.to_string();
+    let value = http::HeaderValue::from_str(&host).expect("an address is plain text");
+    request.headers_mut().insert(http::header::HOST, value);
+    let answer = time::timeout(CALL_TIMEOUT, async {
+        let (head, body) = connection.send(request).await?;
+        let body = http_body_util::BodyExt::collect(body).await;
+        let body = body.map_err(|_| Fault::Broken)?.to_bytes();
+        connection.keep(None);
+        Ok(http::Response::from_parts(head, body))
+    });
+    match answer.await.unwrap_or(Err(Fault::Silent)) {
+        Ok(answer) => shared.dialect.order_answer(&answer),
+        Err(Fault::NotSent) => Verdict::NotSent,
+        Err(Fault::Broken | Fault::Silent) => Verdict::Unanswered,
+    }
+}
+
+/// Has an adapter placed, and returns the engines that hold it.
+pub async fn place<D: Dialect>(shared: Rc<Shared<D>>, model: Name, adapter: Name) -> Vec<Name> {
+    let until = Instant::now() + PLACE_TIMEOUT;
+    while Instant::now() < until {
+        let now = shared.clock.now();
+        if shared.claim.borrow().stand(now) != Stand::Holds {
+            return Vec::new();
+        }
+        let found = shared.planner.borrow_mut().place(now, &model, &adapter);
+        match found {
+            Ok(engines) => return engines,
+            Err(Some(wish)) => give(shared.clone(), wish).await,
+            Err(None) => time::sleep(PLACE_PAUSE).await,
+        }
+    }
+    Vec::new()
+}
+
+/// Takes what a host was asked for.
+pub fn hear<D>(shared: &Shared<D>, demands: &[Demand]) -> bool {
+    let now = shared.clock.now();
+    let holds = shared.claim.borrow().stand(now) != Stand::None;
+    if holds {
+        let mut planner = shared.planner.borrow_mut();
+        demands.iter().for_each(|demand| planner.demand(now, demand));
+    }
+    holds
+}
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,237 @@
+//! Calls between hosts: demand, and adapters that requests wait for.
+
+use crate::{
+    journal::journal,
+    orders,
+    shared::Shared,
+};
+use mulberryrack_core::Name;
+use mulberryrack_fleet::Demand;
+use mulberryrack_site::Dialect;
+use mulberryrack_wire::plan::{
+    self,
+    planner_client::PlannerClient,
+    planner_server::{Planner, PlannerServer},
+};
+use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+    task, time,
+};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{
+    Request, Response, Status,
+    transport::{Channel, Endpoint, Server},
+};
+
+/// Time between two reports of demand.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// Time for the other host to answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Calls that wait for the host's thread.
+const CALLS: usize = 64;
+/// Time between the signs of life that are asked for on connections between hosts.
+const KEEPALIVE: Duration = Duration::from_secs(2);
+
+/// A call of another host, with where its answer goes.
+enum Call {
+    Report(Vec<Demand>, oneshot::Sender<bool>),
+    Place(Name, Name, oneshot::Sender<Vec<Name>>),
+}
+
+/// Hands calls over to the thread that decides.
+struct Desk {
+    calls: mpsc::Sender<Call>,
+}
+
+impl Desk {
+    async fn ask<T>(&self, call: Call, answer: oneshot::Receiver<T>) -> Result<T, Status> {
+        let sent = self.calls.send(call).await;
+        sent.map_err(|_| Status::unavailable("the host ends"))?;
+        answer.await.map_err(|_| Status::unavailable("the host ends"))
+    }
+}
+
+#[tonic::async_trait]
+impl Planner for Desk {
+    async fn report(
+        &self,
+        request: Request<plan::Demand>,
+    ) -> Result<Response<plan::Heard>, Status> {
+        let wanted = request.into_inner().wanted;
+        let demands = wanted.into_iter().map(|wanted| Demand {
+            model: wanted.model.into(),
+            adapter: (!wanted.adapter.is_empty()).then(|| wanted.adapter.into()),
+            requests: wanted.requests,
+            tokens: wanted.tokens,
+        });
+        let (answer, heard) = oneshot::channel();
+        let planner = self.ask(Call::Report(demands.collect(), answer), heard).await?;
+        Ok(Response::new(plan::Heard { planner }))
+    }
+
+    async fn place(&self, request: Request<plan::Place>) -> Result<Response<plan::Placed>, Status> {
+        let plan::Place { model, adapter } = request.into_inner();
+        let (answer, placed) = oneshot::channel();
+        let call = Call::Place(model.into(), adapter.into(), answer);
+        let engines = self.ask(call, placed).await?;
+        let engines = engines.iter().map(ToString::to_string).collect();
+        Ok(Response::new(plan::Placed { engines }))
+    }
+}
+
+/// Serves the calls of other hosts until the process ends.
+pub async fn serve<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener) {
+    let (calls, mut taken) = mpsc::channel(CALLS);
+    let served = Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE))
+        .add_service(PlannerServer::new(Desk { calls }))
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    task::spawn_local(async move {
+        if let Err(error) = served.await {
+            journal!(error, "peers-not-served", error = error);
+        }
+    });
+    while let Some(call) = taken.recv().await {
+        match call {
+            // A caller that is gone needs no answer.
+            Call::Report(demands, answer) => drop(answer.send(orders::hear(&shared, &demands))),
+            Call::Place(model, adapter, answer) => {
+                let shared = shared.clone();
+                task::spawn_local(async move {
+                    let engines = orders::place(shared, model, adapter).await;
+                    drop(answer.send(engines));
+                });
+            }
+        }
+    }
+}
+
+/// The host that gives orders, as this host reaches it.
+#[derive(Default)]
+pub struct Link {
+    channel: RefCell<Option<(SocketAddr, Channel)>>,
+    /// Adapters that were asked for and not answered yet.
+    asking: RefCell<BTreeSet<(Name, Name)>>,
+}
+
+impl Link {
+    fn channel(&self, address: SocketAddr) -> Option<Channel> {
+        let mut kept = self.channel.borrow_mut();
+        if let Some((to, channel)) = &*kept
+            && *to == address
+        {
+            return Some(channel.clone());
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+        let channel = endpoint
+            .timeout(CALL_TIMEOUT)
+            .connect_timeout(CALL_TIMEOUT)
+            .http2_keep_alive_interval(KEEPALIVE)
+            .connect_lazy();
+        *kept = Some((address, channel.clone()));
+        Some(channel)
+    }
+
+    fn forget(&self) {
+        *self.channel.borrow_mut() = None;
+    }
+}
+
+/// Reports demand to the planner until the process ends.
+pub async fn report<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<Link>) {
+    loop {
+        time::sleep(REPORT_EVERY).await;
+        let wanted = shared.gate.borrow_mut().take_wanted();
+        let holder = shared.holder.borrow().clone();
+        let (Some((seat, _)), false) = (holder, wanted.is_empty()) else {
+            continue;
+        };
+        if seat.host == shared.settings.host {
+            let demands: Vec<Demand> = wanted.into_iter().map(demand).collect();
+            orders::hear(&shared, &demands);
+            continue;
+        }
+        let Some(channel) = link.channel(seat.peers) else {
+            continue;
+        };
+        let message = plan::Demand {
+            host: shared.settings.host.to_string(),
+            wanted: wanted.into_iter().map(message).collect(),
+        };
+        if let Err(error) = PlannerClient::new(channel).report(message).await {
+            journal!(warn, "demand-not-told", planner = seat.host, error = error.code());
+            link.forget();
+        }
+    }
+}
+
+fn demand(wanted: mulberryrack_gate::Wanted) -> Demand {
+    Demand {
+        model: wanted.model,
+        adapter: wanted.adapter,
+        requests: wanted.requests,
+        tokens: wanted.tokens,
+    }
+}
+
+fn message(wanted: mulberryrack_gate::Wanted) -> plan::Wanted {
+    plan::Wanted {
+        model: wanted.model.to_string(),
+        adapter: wanted.adapter.as_deref().unwrap_or_default().to_owned(),
+        requests: wanted.requests,
+        tokens: wanted.tokens,
+    }
+}
+
+/// Has an adapter placed, unless that is under way. Waiting requests are told when the
+/// answer is there.
+pub async fn place<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    link: Rc<Link>,
+    model: Name,
+    adapter: Name,
+) {
+    let key = (model.clone(), adapter.clone());
+    if !link.asking.borrow_mut().insert(key.clone()) {
+        return;
+    }
+    let engines = ask(&shared, &link, &model, &adapter).await;
+    link.asking.borrow_mut().remove(&key);
+    journal!(info, "adapter-placed", model = model, adapter = adapter, engines = engines.len());
+    let now = shared.clock.now();
+    for engine in &engines {
+        shared.gate.borrow_mut().learn(now, engine, &model, &adapter);
+    }
+    shared.changed.notify_waiters();
+}
+
+async fn ask<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    link: &Link,
+    model: &Name,
+    adapter: &Name,
+) -> Vec<Name> {
+    let Some((seat, _)) = shared.holder.borrow().clone() else {
+        return Vec::new();
+    };
+    if seat.host == shared.settings.host {
+        return orders::place(shared.clone(), model.clone(), adapter.clone()).await;
+    }
+    let Some(channel) = link.channel(seat.peers) else {
+        return Vec::new();
+    };
+    let message = plan::Place {
+        model: model.to_string(),
+        adapter: adapter.to_string(),
+    };
+    match PlannerClient::new(channel).place(message).await {
+        Ok(placed) => placed.into_inner().engines.iter().map(|it| it.as_str().into()).collect(),
+        Err(error) => {
+            journal!(warn, "adapter-not-asked", planner = seat.host, error = error.code());
+            link.forget();
+            Vec::new()
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/watch.rs
@@ -0,0 +1,223 @@
+//! Follows the key-value service: the configuration, upstreams, hosts, the claim.
+
+use crate::{
+    journal::journal,
+    seat::{CLAIM, SEATS, Seat},
+    shared::{Phase, Shared},
+};
+use mulberryrack_core::{
+    Name,
+    kv::{Entry, Fault, Op, Reply, Revision},
+};
+use mulberryrack_site::{Dialect, upstream::State};
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use tokio::time;
+
+/// How long the service holds a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Pause after an answer with changes, in which further ones gather; a fifth of the
+/// users' bound for a change to be in force leaves time for a lost answer.
+const GATHER: Duration = Duration::from_millis(200);
+/// First pause after a call without an answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two tries, so that a service that is back is noticed at once.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Entries asked for at once.
+const PAGE: u32 = 500;
+
+/// Follows the service until the process ends.
+pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
+    let mut pause = FIRST_PAUSE;
+    let mut at: Option<Revision> = None;
+    let mut reached = true;
+    loop {
+        let step = match at {
+            None => read_all(&shared).await,
+            Some(after) => follow(&shared, after).await,
+        };
+        match step {
+            Ok(revision) => {
+                if !reached {
+                    journal!(info, "store-reached", revision = revision.0);
+                }
+                reached = true;
+                pause = FIRST_PAUSE;
+                at = Some(revision);
+            }
+            Err(Fault::HistoryGone) => {
+                journal!(warn, "store-history-gone", after = at.map_or(0, |it| it.0));
+                at = None;
+            }
+            Err(fault) => {
+                if reached {
+                    journal!(warn, "store-lost", fault = format_args!("{fault:?}"));
+                }
+                reached = false;
+                time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn read_all<D: Dialect>(shared: &Shared<D>) -> Result<Revision, Fault> {
+    let mut after: Option<Arc<str>> = None;
+    let mut first: Option<Revision> = None;
+    let mut seen = BTreeSet::new();
+    loop {
+        let op = Op::List {
+            prefix: "".into(),
+            after: after.clone(),
+            limit: PAGE,
+        };
+        let reply = shared.store.call(&op).await?;
+        let Reply::Entries { entries, more, revision } = reply else {
+            return Err(Fault::Unknown);
+        };
+        // Pages are no snapshot: the watch goes on from before the first one.
+        let start = *first.get_or_insert(revision);
+        after = entries.last().map(|entry| entry.key.clone());
+        for entry in &entries {
+            seen.insert(entry.key.clone());
+            put(shared, entry);
+        }
+        if !more || after.is_none() {
+            forget_unseen(shared, &seen);
+            shared.changed.notify_waiters();
+            return Ok(start);
+        }
+    }
+}
+
+fn forget_unseen<D: Dialect>(shared: &Shared<D>, seen: &BTreeSet<Arc<str>>) {
+    let listed: Vec<Name> = {
+        let gate = shared.gate.borrow();
+        gate.listed().map(|entry| entry.id.clone()).collect()
+    };
+    let names: BTreeSet<Name> = seen
+        .iter()
+        .filter_map(|key| shared.dialect.upstream_key(key))
+        .collect();
+    for id in listed.iter().filter(|id| !names.contains(*id)) {
+        unlist(shared, id);
+    }
+    let seat = |name: &Name| seen.contains(format!("{SEATS}{name}").as_str());
+    shared.hosts.borrow_mut().retain(|name, _| seat(name));
+    if !seen.contains(CLAIM) {
+        *shared.holder.borrow_mut() = None;
+    }
+    count_hosts(shared);
+}
+
+async fn follow<D: Dialect>(shared: &Shared<D>, after: Revision) -> Result<Revision, Fault> {
+    let op = Op::Watch {
+        prefix: "".into(),
+        after,
+        wait: WATCH_WAIT,
+    };
+    let reply = shared.store.call(&op).await?;
+    let Reply::Changes { entries, deleted, revision } = reply else {
+        return Err(Fault::Unknown);
+    };
+    for entry in &entries {
+        put(shared, entry);
+    }
+    for key in &deleted {
+        remove(shared, key);
+    }
+    if !(entries.is_empty() && deleted.is_empty()) {
+        shared.changed.notify_waiters();
+        time::sleep(GATHER).await;
+    }
+    Ok(revision)
+}
+
+fn put<D: Dialect>(shared: &Shared<D>, entry: &Entry) {
+    if &*entry.key == shared.dialect.config_key() {
+        configure(shared, entry);
+    } else if let Some(id) = shared.dialect.upstream_key(&entry.key) {
+        list(shared, &id, entry);
+    } else if &*entry.key == CLAIM {
+        match serde_json::from_slice::<Seat>(&entry.value) {
+            Ok(seat) => *shared.holder.borrow_mut() = Some((seat, entry.revision)),
+            Err(error) => journal!(warn, "claim-unreadable", error = error),
+        }
+    } else if entry.key.starts_with(SEATS) {
+        match serde_json::from_slice::<Seat>(&entry.value) {
+            Ok(seat) => {
+                let mut hosts = shared.hosts.borrow_mut();
+                hosts.insert(seat.host.clone(), (seat, entry.revision));
+            }
+            Err(error) => journal!(warn, "host-unreadable", key = entry.key, error = error),
+        }
+        count_hosts(shared);
+    }
+}
+
+fn configure<D: Dialect>(shared: &Shared<D>, entry: &Entry) {
+    let config = match shared.dialect.config(&entry.value) {
+        Ok(config) => Arc::new(config),
+        Err(error) => {
+            journal!(error, "config-unreadable", revision = entry.revision.0, error = error);
+            return;
+        }
+    };
+    if !shared.gate.borrow_mut().configure(config.clone()) {
+        return;
+    }
+    shared.planner.borrow_mut().configure(config.clone());
+    let version = i64::try_from(config.version).unwrap_or(i64::MAX);
+    shared.metrics.config_version.set(version);
+    journal!(
+        info,
+        "config",
+        version = config.version,
+        revision = entry.revision.0,
+        routes = config.routes.len(),
+        services = config.services.len(),
+    );
+    if shared.phase.get() == Phase::Starting {
+        shared.enter(Phase::Serving);
+    }
+}
+
+fn list<D: Dialect>(shared: &Shared<D>, id: &Name, entry: &Entry) {
+    let upstream = match shared.dialect.upstream(id, &entry.value) {
+        Ok(upstream) => upstream,
+        Err(error) => {
+            journal!(warn, "upstream-unreadable", id = id, error = error);
+            unlist(shared, id);
+            return;
+        }
+    };
+    if upstream.state == State::Leaving {
+        journal!(info, "upstream-leaves", id = id, revision = entry.revision.0);
+    }
+    let now = shared.clock.now();
+    shared.planner.borrow_mut().list(now, upstream.clone());
+    if shared.gate.borrow_mut().list(upstream) {
+        journal!(info, "upstream-listed", id = id, revision = entry.revision.0);
+    }
+}
+
+fn unlist<D: Dialect>(shared: &Shared<D>, id: &Name) {
+    shared.gate.borrow_mut().unlist(id);
+    shared.planner.borrow_mut().unlist(id);
+    journal!(info, "upstream-gone", id = id);
+}
+
+fn remove<D: Dialect>(shared: &Shared<D>, key: &str) {
+    if let Some(id) = shared.dialect.upstream_key(key) {
+        unlist(shared, &id);
+    } else if key == CLAIM {
+        *shared.holder.borrow_mut() = None;
+    } else if let Some(name) = key.strip_prefix(SEATS) {
+        shared.hosts.borrow_mut().remove(name);
+        count_hosts(shared);
+    }
+}
+
+fn count_hosts<D>(shared: &Shared<D>) {
+    let hosts = u32::try_from(shared.hosts.borrow().len()).unwrap_or(u32::MAX);
+    shared.gate.borrow_mut().set_hosts(hosts);
+}
--- /dev/null
+++ b/crates/fleet/src/account.rs
@@ -0,0 +1,214 @@
+//! What one engine holds, and what may still arrive there.
+
+use mulberryrack_core::{Name, Time};
+use mulberryrack_site::{
+    config::Engine,
+    order::{Action, Verdict},
+    upstream::{Held, Report, State, Upstream},
+};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Longest time after which an order without an answer is carried out.
+const LATE_ORDER: Duration = Duration::from_secs(13);
+/// Time for which the list's or a report's word is older than an accepted order.
+const WORD_LAG: Duration = Duration::from_millis(2_500);
+
+/// An order that was sent and is not seen to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Open {
+    pub action: Action,
+    pub model: Name,
+    pub adapter: Option<Name>,
+    /// Orders that the engine had accepted before, by which a late one is refused.
+    pub after: u64,
+    pub sent: Time,
+    /// What the engine said; `None` while no answer has come.
+    pub verdict: Option<Verdict>,
+}
+
+/// An engine.
+#[derive(Clone, Debug)]
+pub struct Account {
+    pub entry: Upstream,
+    pub listed: bool,
+    /// Adapters in memory by model, as last told.
+    pub models: BTreeMap<Name, Vec<Name>>,
+    /// Orders that it is believed to have accepted.
+    pub orders: u64,
+    /// Invariant: at most one order is open.
+    pub open: Option<Open>,
+    /// Until when a conflict keeps it from new orders.
+    pub blocked_until: Time,
+    /// When orders were last known to have changed, by this host's own.
+    settled: Time,
+}
+
+fn by_model(held: &[Held]) -> BTreeMap<Name, Vec<Name>> {
+    held.iter()
+        .map(|held| (held.model.clone(), held.adapters.clone()))
+        .collect()
+}
+
+impl Account {
+    pub fn new(entry: Upstream) -> Self {
+        Self {
+            models: by_model(&entry.models),
+            orders: entry.orders,
+            entry,
+            listed: true,
+            open: None,
+            blocked_until: Time::ZERO,
+            settled: Time::ZERO,
+        }
+    }
+
+    /// Whether it takes new work, and orders.
+    pub fn serves(&self) -> bool {
+        self.listed && self.entry.state == State::Ready
+    }
+
+    /// Takes its entry in the list over.
+    pub fn list(&mut self, now: Time, entry: Upstream) {
+        if entry.born != self.entry.born || entry.address != self.entry.address {
+            *self = Self::new(entry);
+            return;
+        }
+        self.listed = true;
+        let known = (entry.orders, by_model(&entry.models));
+        self.entry = entry;
+        self.adopt(now, known.0, known.1);
+    }
+
+    /// Takes its own report over.
+    pub fn report(&mut self, now: Time, report: &Report) {
+        if report.born != 0 && self.entry.born != 0 && report.born != self.entry.born {
+            return;
+        }
+        self.adopt(now, report.orders, by_model(&report.models));
+        if report.busy && self.open.is_none() {
+            self.blocked_until = now + Duration::from_millis(200);
+        }
+    }
+
+    fn adopt(&mut self, now: Time, orders: u64, models: BTreeMap<Name, Vec<Name>>) {
+        // An older word than the last accepted order would undo what is known of it.
+        if orders < self.orders && now.since(self.settled) < WORD_LAG {
+            return;
+        }
+        self.orders = self.orders.max(orders);
+        self.models = models;
+        self.close(now);
+    }
+
+    /// Ends the open order once it is done or can no longer be carried out.
+    pub fn close(&mut self, now: Time) {
+        let Some(open) = &self.open else {
+            return;
+        };
+        let present = self.holds(&open.model, open.adapter.as_deref());
+        let done = match open.action {
+            Action::Load => present,
+            Action::Unload => !present,
+        };
+        let unanswered = matches!(open.verdict, None | Some(Verdict::Unanswered));
+        // Another order was accepted in its place.
+        let overtaken = unanswered && self.orders > open.after + 1;
+        if done || overtaken || now.since(open.sent) > LATE_ORDER {
+            self.open = None;
+        }
+    }
+
+    /// Whether it holds a model, with the adapter where one is given.
+    pub fn holds(&self, model: &str, adapter: Option<&str>) -> bool {
+        self.models.get(model).is_some_and(|adapters| {
+            adapter.is_none_or(|name| adapters.iter().any(|has| &**has == name))
+        })
+    }
+
+    /// Whether a model is there and stays, or is on its way.
+    pub fn counts(&self, model: &str) -> bool {
+        let open = self.open.as_ref().filter(|open| open.adapter.is_none());
+        match open.filter(|open| &*open.model == model) {
+            Some(open) => open.action == Action::Load,
+            None => self.holds(model, None),
+        }
+    }
+
+    /// Takes an order that is about to be sent.
+    pub fn send(&mut self, now: Time, action: Action, model: Name, adapter: Option<Name>) {
+        self.open = Some(Open {
+            action,
+            model,
+            adapter,
+            after: self.orders,
+            sent: now,
+            verdict: None,
+        });
+    }
+
+    /// Takes the answer to the open order.
+    pub fn answered(&mut self, now: Time, verdict: Verdict) {
+        let Some(open) = &mut self.open else {
+            return;
+        };
+        open.verdict = Some(verdict);
+        match verdict {
+            Verdict::Accepted => {
+                self.orders = open.after + 1;
+                self.settled = now;
+                self.assume(now);
+            }
+            Verdict::Held => self.assume(now),
+            Verdict::Conflict => {
+                self.open = None;
+                self.blocked_until = now + Duration::from_millis(400);
+            }
+            Verdict::Fenced | Verdict::Refused | Verdict::NotSent => {
+                self.open = None;
+                self.blocked_until = now + Duration::from_secs(1);
+            }
+            Verdict::Unanswered => {}
+        }
+    }
+
+    /// An adapter takes milliseconds: it counts as there once its order is accepted.
+    fn assume(&mut self, now: Time) {
+        let Some(open) = &self.open else {
+            return;
+        };
+        let Some(adapter) = open.adapter.clone() else {
+            if open.verdict == Some(Verdict::Held) {
+                self.blocked_until = now + Duration::from_millis(400);
+                self.open = None;
+            }
+            return;
+        };
+        let adapters = self.models.entry(open.model.clone()).or_default();
+        match open.action {
+            Action::Load => adapters.push(adapter),
+            Action::Unload => adapters.retain(|name| *name != adapter),
+        }
+        self.open = None;
+        self.settled = now;
+    }
+
+    /// Megabytes that are free for weights, with room kept for all adapters.
+    pub fn free_mb(&self, engine: &Engine) -> f64 {
+        let largest = engine.models.iter().map(|model| model.adapter_mb);
+        let adapters = f64::from(engine.adapter_places) * largest.fold(0.0, f64::max);
+        let size = |name: &Name| engine.model(name).map_or(engine.weights_mb, |it| it.weights_mb);
+        let held: f64 = self.models.keys().map(size).sum();
+        let coming = self.open.as_ref().filter(|open| {
+            open.adapter.is_none()
+                && open.action == Action::Load
+                && !self.models.contains_key(&open.model)
+        });
+        let coming = coming.map_or(0.0, |open| size(&open.model));
+        engine.weights_mb - adapters - held - coming
+    }
+
+    /// Adapters that it holds.
+    pub fn adapters(&self) -> usize {
+        self.models.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/choice.rs
@@ -0,0 +1,92 @@
+//! Which of several upstreams gets a request.
+
+use crate::{
+    gate::Gate,
+    pass::Pass,
+    upstreams::{Known, UpstreamId},
+};
+use mulberryrack_core::{Time, hash};
+use mulberryrack_site::ask::Generation;
+use rand::RngExt;
+
+/// What an upstream costs a request, in milliseconds of its time to the first event.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Offer {
+    pub id: UpstreamId,
+    cost: f64,
+    /// Reading time of the part of the prompt that is not expected in its cache.
+    pub read_ms: f64,
+}
+
+impl Gate {
+    /// The cheapest of the candidates; those that rest only if no other is left.
+    pub(crate) fn choose(&mut self, now: Time, pass: &Pass) -> (Option<Offer>, usize) {
+        let generation = pass.ask.generation.as_ref();
+        let fits = |known: &Known| {
+            known.serves()
+                && known.entry.service == pass.service
+                && generation
+                    .is_none_or(|it| known.holds(now, &it.model, it.adapter.as_deref()))
+        };
+        let candidates: Vec<UpstreamId> = self
+            .upstreams
+            .iter()
+            .filter(|(id, known)| !pass.avoid.contains(id) && fits(known))
+            .map(|(id, _)| id)
+            .collect();
+        let count = candidates.len();
+        let awake = |id: &UpstreamId| self.upstreams.get(*id).rests_until <= now;
+        let rested: Vec<UpstreamId> = candidates.iter().copied().filter(awake).collect();
+        let pool = if rested.is_empty() { candidates } else { rested };
+        let home = generation.and_then(|it| self.home(it, &pool));
+        let offers: Vec<Offer> = pool
+            .iter()
+            .map(|&id| self.offer(id, pass, home == Some(id)))
+            .collect();
+        let best = offers
+            .into_iter()
+            .min_by(|one, other| one.cost.total_cmp(&other.cost));
+        (best, count)
+    }
+
+    /// The engine on which all hosts expect the shared parts of a prompt.
+    fn home(&self, generation: &Generation, pool: &[UpstreamId]) -> Option<UpstreamId> {
+        let shared = generation.parts.split_last()?.1;
+        let mut item = generation.model.to_string();
+        item.push_str(generation.adapter.as_deref().unwrap_or_default());
+        for part in shared {
+            item.push_str(&part.id.to_string());
+        }
+        let weight = |id: &UpstreamId| {
+            let name = &self.upstreams.get(*id).entry.id;
+            hash::rendezvous(&item, name, 1.0)
+        };
+        pool.iter()
+            .copied()
+            .max_by(|one, other| weight(one).total_cmp(&weight(other)))
+    }
+
+    fn offer(&mut self, id: UpstreamId, pass: &Pass, home: bool) -> Offer {
+        let jitter = self.rng.random_range(0.0..self.tuning.jitter_ms);
+        let known = self.upstreams.get(id);
+        let Some(generation) = &pass.ask.generation else {
+            let slots = f64::from(known.entry.slots.max(1));
+            let load = known.estimate(self.hosts) / slots;
+            return Offer {
+                id,
+                cost: load * self.tuning.run_ms * slots + jitter,
+                read_ms: 0.0,
+            };
+        };
+        let own = generation.parts.last().map_or(0, |part| part.tokens);
+        let unread = if home { own } else { generation.prompt_tokens.max(own) };
+        let read_ms = f64::from(unread) / self.tuning.read_tokens_per_ms;
+        let waiting = known.load.map_or(0, |(load, ..)| load.waiting);
+        let cost = read_ms
+            + known.pending_ms
+            + f64::from(waiting) * self.tuning.wait_ms
+            + known.estimate(self.hosts) * self.tuning.run_ms
+            + jitter;
+        Offer { id, cost, read_ms }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,335 @@
+//! What all requests of a host share, and the steps of one request.
+
+use crate::{
+    budget::Budget,
+    pass::{Ending, Pass, Step, Target},
+    upstreams::{UpstreamId, Upstreams},
+};
+use mulberryrack_core::{
+    Name, Time,
+    outcome::{Reason, Refusal, Retry},
+};
+use mulberryrack_site::{
+    Ask, Config, Upstream,
+    config::Route,
+    upstream::Load,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// Figures that the decisions go by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// Prompt tokens that an engine reads in a millisecond; from the users' sheets.
+    pub read_tokens_per_ms: f64,
+    /// What a running request adds to the time of another, in milliseconds.
+    pub run_ms: f64,
+    /// What a waiting request adds to the time of another, in milliseconds: the time to
+    /// read a prompt of usual length.
+    pub wait_ms: f64,
+    /// Largest random addition to a cost, so that equal upstreams share the load.
+    pub jitter_ms: f64,
+    /// Share of the requests that may be repeated, over all hosts.
+    pub retry_share: f64,
+    /// Repeats beyond the share, over all hosts.
+    pub retry_extra: f64,
+    /// Window in which repeats are counted.
+    pub retry_window: Duration,
+    /// Longest that a request waits for its model, as a share of the time it has.
+    pub place_share: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            read_tokens_per_ms: 40.0,
+            run_ms: 4.0,
+            wait_ms: 120.0,
+            jitter_ms: 2.0,
+            retry_share: 0.2,
+            retry_extra: 50.0,
+            retry_window: Duration::from_secs(10),
+            place_share: 0.6,
+        }
+    }
+}
+
+/// Wait before a request that no upstream can run is to be sent again: an engine that
+/// crashed is back after a few seconds.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// Wait before a request that an upstream turned away is to be sent again.
+const TURNED_AWAY: Duration = Duration::from_millis(100);
+/// Time without which sending a request is of no use.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+
+/// Requests for a model or adapter since the last count.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wanted {
+    /// The model.
+    pub model: Name,
+    /// The adapter; `None` for the model itself.
+    pub adapter: Option<Name>,
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of their prompts, and of their answers at most.
+    pub tokens: u64,
+}
+
+/// Decisions of one host.
+#[derive(Debug)]
+pub struct Gate {
+    pub(crate) tuning: Tuning,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) upstreams: Upstreams,
+    /// Hosts that share the load and the budget; at least one.
+    pub(crate) hosts: u32,
+    config: Option<Arc<Config>>,
+    budgets: BTreeMap<Name, Budget>,
+    wanted: BTreeMap<(Name, Option<Name>), (u32, u64)>,
+}
+
+impl Gate {
+    /// A gate that knows no configuration yet.
+    #[must_use]
+    pub fn new(tuning: Tuning, seed: u64) -> Self {
+        Self {
+            tuning,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            upstreams: Upstreams::default(),
+            hosts: 1,
+            config: None,
+            budgets: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a configuration over if it is newer. Returns whether it was.
+    pub fn configure(&mut self, config: Arc<Config>) -> bool {
+        if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
+            return false;
+        }
+        self.config = Some(config);
+        true
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    /// Takes an upstream's entry over. Returns whether it is another life of it.
+    pub fn list(&mut self, entry: Upstream) -> bool {
+        self.upstreams.list(entry)
+    }
+
+    /// Takes an upstream off the list.
+    pub fn unlist(&mut self, name: &str) {
+        self.upstreams.unlist(name);
+    }
+
+    /// Sets how many hosts share the load.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// Takes a placement that the planner told of.
+    pub fn learn(&mut self, now: Time, engine: &str, model: &Name, adapter: &Name) {
+        if let Some(id) = self.upstreams.find(engine) {
+            self.upstreams.get_mut(id).learn(now, model, adapter);
+        }
+    }
+
+    /// Entries of the upstreams that are listed now.
+    pub fn listed(&self) -> impl Iterator<Item = &Upstream> {
+        let listed = self.upstreams.iter().filter(|(_, known)| known.listed);
+        listed.map(|(_, known)| &known.entry)
+    }
+
+    /// Requests by model and adapter since the last call.
+    pub fn take_wanted(&mut self) -> Vec<Wanted> {
+        std::mem::take(&mut self.wanted)
+            .into_iter()
+            .map(|((model, adapter), (requests, tokens))| Wanted {
+                model,
+                adapter,
+                requests,
+                tokens,
+            })
+            .collect()
+    }
+
+    /// Lets a request in.
+    ///
+    /// # Errors
+    ///
+    /// Why it is refused: no configuration yet, or no route that matches.
+    pub fn admit(&mut self, now: Time, ask: Ask) -> Result<Pass, Refusal> {
+        let refuse = |reason, retry_after| Refusal { reason, retry_after };
+        let Some(config) = self.config.clone() else {
+            return Err(refuse(Reason::NoTable, Some(COME_BACK)));
+        };
+        let Some(route) = config.route(&ask.host, &ask.path) else {
+            return Err(refuse(Reason::UnknownTarget, None));
+        };
+        let Some(service) = self.draw(route) else {
+            return Err(refuse(Reason::NoUpstream, Some(COME_BACK)));
+        };
+        let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+        self.count(&ask);
+        Ok(Pass {
+            ask,
+            route: route.clone(),
+            service,
+            version: config.version,
+            arrived: now,
+            deadline: now + patience,
+            sent: Vec::new(),
+            avoid: Vec::new(),
+            may_have_run: false,
+            pending_ms: 0.0,
+        })
+    }
+
+    fn draw(&mut self, route: &Route) -> Option<Name> {
+        let total: u32 = route.targets.iter().map(|(_, share)| *share).sum();
+        let mut ticket = self.rng.random_range(0..total.max(1));
+        for (service, share) in &route.targets {
+            if ticket < *share {
+                return Some(service.clone());
+            }
+            ticket -= share;
+        }
+        None
+    }
+
+    fn count(&mut self, ask: &Ask) {
+        if let Some(it) = &ask.generation {
+            let key = (it.model.clone(), it.adapter.clone());
+            let count = self.wanted.entry(key).or_default();
+            count.0 += 1;
+            count.1 += u64::from(it.prompt_tokens) + 10 * u64::from(it.output_tokens);
+        }
+    }
+
+    /// Decides what to do with a request that is not at any upstream.
+    pub fn step(&mut self, now: Time, pass: &mut Pass, retry: Option<Retry>) -> Step {
+        if pass.left(now) < LEAST_TIME {
+            return give_up(pass, Reason::Deadline, None);
+        }
+        if pass.may_have_run && !pass.repeatable(false) {
+            return Step::Fail;
+        }
+        let (offer, candidates) = self.choose(now, pass);
+        let Some(offer) = offer else {
+            return self.without_upstream(now, pass);
+        };
+        let again = pass.sent.contains(&offer.id);
+        let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
+        if !again && pass.sent.len() >= most {
+            return give_up(pass, Reason::UpstreamRefused, Some(TURNED_AWAY));
+        }
+        if !self.charge(now, pass) {
+            return give_up(pass, Reason::RetryBudget, Some(TURNED_AWAY));
+        }
+        if !again {
+            pass.sent.push(offer.id);
+        }
+        pass.pending_ms = offer.read_ms;
+        let known = self.upstreams.get_mut(offer.id);
+        known.running += 1;
+        known.pending_ms += offer.read_ms;
+        Step::Send(Target {
+            id: offer.id,
+            name: known.entry.id.clone(),
+            address: known.entry.address,
+            urgency: pass.ask.generation.is_some().then_some(pass.route.priority.min(9)),
+            load: known.load.map(|(load, at, _)| (load, now.since(at))),
+            candidates,
+            retry,
+        })
+    }
+
+    fn charge(&mut self, now: Time, pass: &Pass) -> bool {
+        let hosts = f64::from(self.hosts);
+        let budget = self.budgets.entry(pass.service.clone()).or_default();
+        if pass.sent.is_empty() {
+            budget.earn(now);
+            return true;
+        }
+        let Tuning {
+            retry_window,
+            retry_share,
+            retry_extra,
+            ..
+        } = self.tuning;
+        budget.spend(now, retry_window, retry_share, retry_extra / hosts)
+    }
+
+    /// A request whose model is on no upstream waits for a placement, others are refused.
+    fn without_upstream(&self, now: Time, pass: &Pass) -> Step {
+        let placeable = pass.ask.generation.as_ref().is_some_and(|it| {
+            let service = self.config.as_ref().and_then(|config| config.service(&pass.service));
+            let engine = service.and_then(|service| service.engine.as_ref());
+            engine.is_some_and(|engine| engine.model(&it.model).is_some())
+        });
+        let whole = pass.deadline.since(pass.arrived);
+        let until = pass.arrived + whole.mul_f64(self.tuning.place_share);
+        if placeable && !pass.may_have_run && now < until {
+            return Step::Place(until);
+        }
+        let reason = if placeable { Reason::NoCopy } else { Reason::NoUpstream };
+        give_up(pass, reason, Some(COME_BACK))
+    }
+
+    /// Takes the load that an upstream told with an answer.
+    pub fn load(&mut self, now: Time, id: UpstreamId, load: Load) {
+        let known = self.upstreams.get_mut(id);
+        known.load = Some((load, now, known.running));
+    }
+
+    /// Takes the first event of an answer: the prompt is read.
+    pub fn first_event(&mut self, pass: &mut Pass, id: UpstreamId) {
+        pass.may_have_run = true;
+        let known = self.upstreams.get_mut(id);
+        known.pending_ms = (known.pending_ms - pass.pending_ms).max(0.0);
+        pass.pending_ms = 0.0;
+    }
+
+    /// Takes how a send ended. [`Gate::step`] tells what comes next, if anything does.
+    pub fn ended(&mut self, now: Time, pass: &mut Pass, id: UpstreamId, ending: Ending) {
+        let known = self.upstreams.get_mut(id);
+        known.running = known.running.saturating_sub(1);
+        known.pending_ms = (known.pending_ms - pass.pending_ms).max(0.0);
+        pass.pending_ms = 0.0;
+        known.judge(now, ending);
+        match ending {
+            Ending::NotSent => {
+                pass.sent.retain(|sent| *sent != id);
+                pass.avoid.push(id);
+            }
+            Ending::Misplaced => match &pass.ask.generation {
+                // It may be sent there again once the model is placed.
+                Some(it) => known.unlearn(&it.model, it.adapter.as_deref()),
+                None => pass.avoid.push(id),
+            },
+            Ending::NotRun => pass.avoid.push(id),
+            Ending::Failed | Ending::Broken | Ending::Silent => {
+                pass.may_have_run = true;
+                pass.avoid.push(id);
+            }
+            Ending::Done | Ending::Abandoned => pass.may_have_run = true,
+        }
+    }
+}
+
+fn give_up(pass: &Pass, reason: Reason, retry_after: Option<Duration>) -> Step {
+    if pass.may_have_run {
+        return Step::Fail;
+    }
+    Step::Refuse(Refusal {
+        reason,
+        retry_after,
+    })
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,3 +26,7 @@
 #[allow(missing_docs, clippy::pedantic, clippy::all)]
 #[rustfmt::skip]
 pub mod operator { include!("generated/mulberryrack.operator.rs"); }
+
+#[allow(missing_docs, clippy::pedantic, clippy::all)]
+#[rustfmt::skip]
+pub mod plan { include!("generated/mulberryrack.plan.rs"); }
