--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -12,6 +12,10 @@
 const LATE_ORDER: Duration = Duration::from_secs(13);
 /// Time for which the list's or a report's word is older than an accepted order.
 const WORD_LAG: Duration = Duration::from_millis(2_500);
+/// Pause after an engine was found busy with another order; an adapter takes milliseconds.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after an engine could not be reached or did not understand.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
 
 /// An order that was sent and is not seen to be done.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,8 +37,8 @@
     pub listed: bool,
     /// Adapters in memory by model, as last told.
     pub models: BTreeMap<Name, Vec<Name>>,
-    /// Orders that it is believed to have accepted.
-    pub orders: u64,
+    /// Orders that it is believed to have accepted in this life; `None` until it has told.
+    pub orders: Option<u64>,
     /// Invariant: at most one order is open.
     pub open: Option<Open>,
     /// Until when a conflict keeps it from new orders.
@@ -53,7 +57,7 @@
     pub fn new(entry: Upstream) -> Self {
         Self {
             models: by_model(&entry.models),
-            orders: entry.orders,
+            orders: None,
             entry,
             listed: true,
             open: None,
@@ -67,6 +71,18 @@
         self.listed && self.entry.state == State::Ready
     }
 
+    /// Whether it can be given an order.
+    pub fn free(&self, now: Time) -> bool {
+        self.open.is_none() && self.orders.is_some() && self.blocked_until <= now
+    }
+
+    /// Forgets what another host's orders may have changed.
+    pub fn doubt(&mut self) {
+        self.open = None;
+        self.orders = None;
+        self.settled = Time::ZERO;
+    }
+
     /// Takes its entry in the list over.
     pub fn list(&mut self, now: Time, entry: Upstream) {
         if entry.born != self.entry.born || entry.address != self.entry.address {
@@ -74,9 +90,13 @@
             return;
         }
         self.listed = true;
-        let known = (entry.orders, by_model(&entry.models));
+        let models = by_model(&entry.models);
         self.entry = entry;
-        self.adopt(now, known.0, known.1);
+        // An older word than the last accepted order would undo what is known of it.
+        if now.since(self.settled) >= WORD_LAG {
+            self.models = models;
+            self.close(now);
+        }
     }
 
     /// Takes its own report over.
@@ -84,20 +104,15 @@
         if report.born != 0 && self.entry.born != 0 && report.born != self.entry.born {
             return;
         }
-        self.adopt(now, report.orders, by_model(&report.models));
-        if report.busy && self.open.is_none() {
-            self.blocked_until = now + Duration::from_millis(200);
+        let older = self.orders.is_some_and(|known| report.orders < known);
+        if !older || now.since(self.settled) >= WORD_LAG {
+            self.orders = Some(report.orders);
+            self.models = by_model(&report.models);
+            self.close(now);
         }
-    }
-
-    fn adopt(&mut self, now: Time, orders: u64, models: BTreeMap<Name, Vec<Name>>) {
-        // An older word than the last accepted order would undo what is known of it.
-        if orders < self.orders && now.since(self.settled) < WORD_LAG {
-            return;
+        if report.busy && self.open.is_none() {
+            self.blocked_until = now + CONFLICT_PAUSE;
         }
-        self.orders = self.orders.max(orders);
-        self.models = models;
-        self.close(now);
     }
 
     /// Ends the open order once it is done or can no longer be carried out.
@@ -112,7 +127,7 @@
         };
         let unanswered = matches!(open.verdict, None | Some(Verdict::Unanswered));
         // Another order was accepted in its place.
-        let overtaken = unanswered && self.orders > open.after + 1;
+        let overtaken = unanswered && self.orders > Some(open.after + 1);
         if done || overtaken || now.since(open.sent) > LATE_ORDER {
             self.open = None;
         }
@@ -136,11 +151,12 @@
 
     /// Takes an order that is about to be sent.
     pub fn send(&mut self, now: Time, action: Action, model: Name, adapter: Option<Name>) {
+        let after = self.orders.unwrap_or(0);
         self.open = Some(Open {
             action,
             model,
             adapter,
-            after: self.orders,
+            after,
             sent: now,
             verdict: None,
         });
@@ -154,18 +170,19 @@
         open.verdict = Some(verdict);
         match verdict {
             Verdict::Accepted => {
-                self.orders = open.after + 1;
+                self.orders = Some(open.after + 1);
                 self.settled = now;
                 self.assume(now);
             }
             Verdict::Held => self.assume(now),
             Verdict::Conflict => {
                 self.open = None;
-                self.blocked_until = now + Duration::from_millis(400);
+                self.orders = None;
+                self.blocked_until = now + CONFLICT_PAUSE;
             }
             Verdict::Fenced | Verdict::Refused | Verdict::NotSent => {
                 self.open = None;
-                self.blocked_until = now + Duration::from_secs(1);
+                self.blocked_until = now + REFUSED_PAUSE;
             }
             Verdict::Unanswered => {}
         }
@@ -178,7 +195,7 @@
         };
         let Some(adapter) = open.adapter.clone() else {
             if open.verdict == Some(Verdict::Held) {
-                self.blocked_until = now + Duration::from_millis(400);
+                self.blocked_until = now + CONFLICT_PAUSE;
                 self.open = None;
             }
             return;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -134,14 +134,16 @@
         let rate = rates.fold(0.0, f64::max);
         self.window.inherit(now, self.window_span, rate);
         for account in self.engines.values_mut() {
-            account.open = None;
+            account.doubt();
         }
     }
 
-    /// Engines whose state is worth asking for: those with an open order or a conflict.
+    /// Engines whose state is worth asking for: those with an open order, or with orders
+    /// that are not known.
     pub fn unsettled(&self, now: Time) -> impl Iterator<Item = &Upstream> {
         let unsettled = self.engines.values().filter(move |account| {
-            account.serves() && (account.open.is_some() || account.blocked_until > now)
+            let unknown = account.orders.is_none() && account.blocked_until <= now;
+            account.serves() && !account.entry.models.is_empty() && (account.open.is_some() || unknown)
         });
         unsettled.map(|account| &account.entry)
     }
@@ -271,8 +273,7 @@
             account.models.keys().map(|held| self.work_of(held)).sum()
         };
         let fits = |account: &&Account| {
-            account.open.is_none()
-                && account.blocked_until <= now
+            account.free(now)
                 && !account.counts(model)
                 && account.free_mb(engine) >= size
         };
@@ -314,7 +315,7 @@
         let size = engine.model(model).map_or(0.0, |model| model.weights_mb);
         let mut best: Option<(f64, Name, Name)> = None;
         for account in self.serving(service) {
-            if account.open.is_some() || account.blocked_until > now || account.counts(model) {
+            if !account.free(now) || account.counts(model) {
                 continue;
             }
             for held in account.models.keys() {
@@ -356,8 +357,7 @@
         let config = self.config.clone()?;
         let free = |account: &&Account| {
             account.serves()
-                && account.open.is_none()
-                && account.blocked_until <= now
+                && account.free(now)
                 && account.holds(model, None)
         };
         let best = self.engines.values().filter(free).min_by_key(|account| account.adapters())?;
@@ -400,7 +400,7 @@
             action,
             model: model.clone(),
             adapter: adapter.cloned(),
-            after: account.orders,
+            after: account.orders.unwrap_or(0),
             why,
         });
     }
--- a/crates/site/src/upstream.rs
+++ b/crates/site/src/upstream.rs
@@ -22,8 +22,6 @@
     pub state: State,
     /// Models in its memory; empty for plain services.
     pub models: Vec<Held>,
-    /// Orders that it has accepted in this life.
-    pub orders: u64,
     /// Models whose weights are still in its host memory or on its disk.
     pub at_hand: Vec<Name>,
 }
