--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -27,6 +27,8 @@
 const LARGEST_EVENT: usize = 1 << 20;
 /// Longest pause before a request that waits for a placement is looked at again.
 const PLACE_CHECK: Duration = Duration::from_millis(150);
+/// Longest pause before a silent upstream is judged again.
+const SILENCE_CHECK: Duration = Duration::from_millis(250);
 /// Least time without a first event after which a request is sent once more.
 const LEAST_SILENCE: Duration = Duration::from_millis(250);
 
@@ -254,23 +256,34 @@
         request
     }
 
-    /// When a request that has had no event yet is sent once more, if it may be.
-    fn silence(&self, pass: &Pass, now: Time) -> Time {
-        let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
-        if !pass.repeatable(self.progress.begun) || pass.sends() >= most {
-            return pass.deadline;
-        }
-        let bound = if pass.route.streaming {
-            pass.route.objective.mul_f64(1.5)
-        } else {
-            pass.route.objective
+    /// When an upstream that has been silent since `since` is left.
+    fn patience(&self, pass: &Pass, target: &Target, since: Time) -> Time {
+        let objective = pass.route.objective;
+        let bound = match (self.progress.begun, pass.route.gap) {
+            (true, Some(gap)) => gap * 2,
+            _ if pass.route.streaming => objective.mul_f64(1.5),
+            _ => objective,
         };
-        pass.deadline.min(now + bound.max(LEAST_SILENCE))
+        let bound = bound.max(LEAST_SILENCE);
+        let now = self.shared.clock.now();
+        let gate = self.shared.gate.borrow();
+        gate.patience(now, pass, target.id, since, bound, self.progress.begun)
+    }
+
+    /// Waits until an upstream is to be left.
+    async fn silence(&self, pass: &Pass, target: &Target, since: Time) {
+        loop {
+            let until = self.patience(pass, target, since);
+            if until <= self.shared.clock.now() {
+                return;
+            }
+            let check = self.shared.clock.now() + SILENCE_CHECK;
+            time::sleep_until(self.shared.clock.instant(until.min(check))).await;
+        }
     }
 
     async fn send(&mut self, pass: &mut Pass, target: &Target) -> Sent {
         let now = self.shared.clock.now();
-        let until = self.shared.clock.instant(self.silence(pass, now));
         let request = self.request(pass, target, now);
         let peer = Peer {
             address: target.address,
@@ -285,7 +298,7 @@
         let headed = tokio::select! {
             headed = headed => headed,
             () = self.caller.closed() => return Sent::Over(Ending::Abandoned),
-            () = time::sleep_until(until) => Err(Fault::Silent),
+            () = self.silence(pass, target, now) => Err(Fault::Silent),
         };
         let (connection, head, body) = match headed {
             Ok(headed) => headed,
@@ -293,6 +306,7 @@
             Err(fault) => return Self::lost(fault),
         };
         let reply = self.shared.dialect.reply(&head);
+        self.heard(target);
         if let Some(load) = reply.load {
             let now = self.shared.clock.now();
             self.shared.gate.borrow_mut().load(now, target.id, load);
@@ -380,6 +394,11 @@
         Sent::Over(Ending::Done)
     }
 
+    fn heard(&self, target: &Target) {
+        let now = self.shared.clock.now();
+        self.shared.gate.borrow_mut().heard(now, target.id);
+    }
+
     fn first(&self, pass: &mut Pass, target: &Target) {
         self.shared.gate.borrow_mut().first_event(pass, target.id);
         if !self.progress.begun {
@@ -399,14 +418,13 @@
         let mut splitter = Splitter::default();
         let mut head = Some(head);
         loop {
-            let now = self.shared.clock.now();
-            let until = if head.is_some() { self.silence(pass, now) } else { self.pause(pass, now) };
-            let until = self.shared.clock.instant(until);
+            let since = self.shared.clock.now();
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.caller.closed() => return Sent::Over(Ending::Abandoned),
-                () = time::sleep_until(until) => return Self::lost(Fault::Silent),
+                () = self.silence(pass, target, since) => return Self::lost(Fault::Silent),
             };
+            self.heard(target);
             match frame {
                 Some(Ok(frame)) => splitter.push(frame.data_ref().map_or(&[], |it| it)),
                 Some(Err(_)) => return Self::lost(Fault::Broken),
@@ -439,16 +457,6 @@
         Sent::Over(Ending::Done)
     }
 
-    /// When a stream that pauses is given up by its upstream.
-    fn pause(&self, pass: &Pass, now: Time) -> Time {
-        let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
-        let may_resume = pass.repeatable(true) && pass.sends() < most;
-        match pass.route.gap.filter(|_| may_resume) {
-            Some(gap) => pass.deadline.min(now + (gap * 2).max(LEAST_SILENCE)),
-            None => pass.deadline,
-        }
-    }
-
     /// Passes the head on, unless a run before has done so.
     async fn begin(&mut self, mut head: response::Parts) {
         if self.progress.begun {
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -14,6 +14,9 @@
 const WORD_LAG: Duration = Duration::from_millis(2_500);
 /// Pause after an engine was found busy with another order; an adapter takes milliseconds.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which an engine's report tells of an order that it was sent; reports are
+/// some hundred milliseconds old.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(1_200);
 /// Pause after an engine could not be reached or did not understand.
 const REFUSED_PAUSE: Duration = Duration::from_secs(1);
 
@@ -109,12 +112,24 @@
             self.orders = Some(report.orders);
             self.models = by_model(&report.models);
             self.close(now);
+            self.drop_unanswered(now, report);
         }
         if report.busy && self.open.is_none() {
             self.blocked_until = now + CONFLICT_PAUSE;
         }
     }
 
+    /// Gives up an order without an answer that the engine has not accepted: the next
+    /// one bears the same count, so the engine takes only one of the two.
+    fn drop_unanswered(&mut self, now: Time, report: &Report) {
+        let unanswered = self.open.as_ref().filter(|open| {
+            open.verdict == Some(Verdict::Unanswered) && now.since(open.sent) > UNANSWERED_PAUSE
+        });
+        if !report.busy && unanswered.is_some_and(|open| open.after == report.orders) {
+            self.open = None;
+        }
+    }
+
     /// Ends the open order once it is done or can no longer be carried out.
     pub fn close(&mut self, now: Time) {
         let Some(open) = &self.open else {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -141,9 +141,12 @@
     /// Engines whose state is worth asking for: those with an open order, or with orders
     /// that are not known.
     pub fn unsettled(&self, now: Time) -> impl Iterator<Item = &Upstream> {
+        let config = self.config.as_ref();
         let unsettled = self.engines.values().filter(move |account| {
             let unknown = account.orders.is_none() && account.blocked_until <= now;
-            account.serves() && !account.entry.models.is_empty() && (account.open.is_some() || unknown)
+            let service = config.and_then(|it| it.service(&account.entry.service));
+            let engine = service.is_some_and(|service| service.engine.is_some());
+            engine && account.serves() && (account.open.is_some() || unknown)
         });
         unsettled.map(|account| &account.entry)
     }
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -19,21 +19,34 @@
 }
 
 impl Gate {
-    /// The cheapest of the candidates; those that rest only if no other is left.
-    pub(crate) fn choose(&mut self, now: Time, pass: &Pass) -> (Option<Offer>, usize) {
+    /// Upstreams that can run a request.
+    fn candidates<'a>(
+        &'a self,
+        now: Time,
+        pass: &'a Pass,
+    ) -> impl Iterator<Item = UpstreamId> + 'a {
         let generation = pass.ask.generation.as_ref();
-        let fits = |known: &Known| {
+        let fits = move |known: &Known| {
             known.serves()
                 && known.entry.service == pass.service
                 && generation
                     .is_none_or(|it| known.holds(now, &it.model, it.adapter.as_deref()))
         };
-        let candidates: Vec<UpstreamId> = self
-            .upstreams
-            .iter()
-            .filter(|(id, known)| !pass.avoid.contains(id) && fits(known))
+        let all = self.upstreams.iter();
+        all.filter(move |(id, known)| !pass.avoid.contains(id) && fits(known))
             .map(|(id, _)| id)
-            .collect();
+    }
+
+    /// Whether another upstream than `id` can run a request now.
+    pub(crate) fn has_other(&self, now: Time, pass: &Pass, id: UpstreamId) -> bool {
+        let awake = |other: UpstreamId| self.upstreams.get(other).rests_until <= now;
+        self.candidates(now, pass).any(|other| other != id && awake(other))
+    }
+
+    /// The cheapest of the candidates; those that rest only if no other is left.
+    pub(crate) fn choose(&mut self, now: Time, pass: &Pass) -> (Option<Offer>, usize) {
+        let generation = pass.ask.generation.as_ref();
+        let candidates: Vec<UpstreamId> = self.candidates(now, pass).collect();
         let count = candidates.len();
         let awake = |id: &UpstreamId| self.upstreams.get(*id).rests_until <= now;
         let rested: Vec<UpstreamId> = candidates.iter().copied().filter(awake).collect();
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -63,6 +63,9 @@
 /// Time without which sending a request is of no use.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
+/// How many times longer the silence of an upstream is borne that answers others.
+const ALIVE_FACTOR: u32 = 3;
+
 /// Requests for a model or adapter since the last count.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wanted {
@@ -283,6 +286,26 @@
         give_up(pass, reason, Some(COME_BACK))
     }
 
+    /// Takes that something came from an upstream.
+    pub fn heard(&mut self, now: Time, id: UpstreamId) {
+        self.upstreams.get_mut(id).heard = now;
+    }
+
+    /// When an upstream that has been silent on a request since `since` is left for
+    /// another one; the request's deadline if there is none. `bound` is the silence that
+    /// is borne.
+    #[must_use]
+    pub fn patience(&self, now: Time, pass: &Pass, id: UpstreamId, since: Time, bound: Duration, begun: bool) -> Time {
+        let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
+        if !pass.repeatable(begun) || pass.sent.len() >= most || !self.has_other(now, pass, id) {
+            return pass.deadline;
+        }
+        // One that answers others is likely to answer this one as well.
+        let alive = self.upstreams.get(id).heard;
+        let until = (alive + bound).min(since + bound * ALIVE_FACTOR);
+        pass.deadline.min(until.max(since + bound))
+    }
+
     /// Takes the load that an upstream told with an answer.
     pub fn load(&mut self, now: Time, id: UpstreamId, load: Load) {
         let known = self.upstreams.get_mut(id);
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -31,6 +31,8 @@
     pub pending_ms: f64,
     /// Load that it told last, when, and this host's requests at that moment.
     pub load: Option<(Load, Time, u32)>,
+    /// When anything came from it last.
+    pub heard: Time,
     /// Failures in a row.
     strikes: u32,
     /// Until when it is not chosen while others can be.
@@ -48,6 +50,7 @@
             running: 0,
             pending_ms: 0.0,
             load: None,
+            heard: Time::ZERO,
             strikes: 0,
             rests_until: Time::ZERO,
             rest: FIRST_REST,
