--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -430,6 +430,13 @@
                 Some(Err(_)) => return Self::lost(Fault::Broken),
                 None => break,
             }
+            if head.is_none()
+                && let Some(generation) = &pass.ask.generation
+            {
+                let gap = self.shared.clock.now().since(since);
+                let mut gate = self.shared.gate.borrow_mut();
+                gate.paced(&generation.model, &pass.service, gap);
+            }
             while let Some(event) = splitter.next_event() {
                 if let Some(head) = head.take() {
                     self.first(pass, target);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -63,8 +63,7 @@
         let demands = wanted.into_iter().map(|wanted| Demand {
             model: wanted.model.into(),
             adapter: (!wanted.adapter.is_empty()).then(|| wanted.adapter.into()),
-            requests: wanted.requests,
-            tokens: wanted.tokens,
+            work_ms: wanted.work_ms,
         });
         let (answer, heard) = oneshot::channel();
         let planner = self.ask(Call::Report(demands.collect(), answer), heard).await?;
@@ -171,8 +170,7 @@
     Demand {
         model: wanted.model,
         adapter: wanted.adapter,
-        requests: wanted.requests,
-        tokens: wanted.tokens,
+        work_ms: wanted.work_ms,
     }
 }
 
@@ -180,8 +178,7 @@
     plan::Wanted {
         model: wanted.model.to_string(),
         adapter: wanted.adapter.as_deref().unwrap_or_default().to_owned(),
-        requests: wanted.requests,
-        tokens: wanted.tokens,
+        work_ms: wanted.work_ms,
     }
 }
 
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -46,6 +46,8 @@
     pub open: Option<Open>,
     /// Until when a conflict keeps it from new orders.
     pub blocked_until: Time,
+    /// When models were first seen here.
+    arrivals: BTreeMap<Name, Time>,
     /// When orders were last known to have changed, by this host's own.
     settled: Time,
 }
@@ -66,6 +68,7 @@
             open: None,
             blocked_until: Time::ZERO,
             settled: Time::ZERO,
+            arrivals: BTreeMap::new(),
         }
     }
 
@@ -74,6 +77,11 @@
         self.listed && self.entry.state == State::Ready
     }
 
+    /// When a model was first seen here; the start for one that always was.
+    pub fn arrived(&self, model: &str) -> Time {
+        self.arrivals.get(model).copied().unwrap_or(Time::ZERO)
+    }
+
     /// Whether it can be given an order.
     pub fn free(&self, now: Time) -> bool {
         self.open.is_none() && self.orders.is_some() && self.blocked_until <= now
@@ -143,6 +151,10 @@
         let unanswered = matches!(open.verdict, None | Some(Verdict::Unanswered));
         // Another order was accepted in its place.
         let overtaken = unanswered && self.orders > Some(open.after + 1);
+        if done && open.action == Action::Load && open.adapter.is_none() {
+            self.arrivals.insert(open.model.clone(), now);
+        }
+        let open = self.open.as_ref().expect("looked at just now");
         if done || overtaken || now.since(open.sent) > LATE_ORDER {
             self.open = None;
         }
--- /dev/null
+++ b/crates/fleet/src/balance.rs
@@ -0,0 +1,295 @@
+//! Evens out the work of a service's engines: every model somewhere, busy ones on
+//! several engines, adapters where there is least to do.
+
+use crate::{
+    account::Account,
+    planner::{Planner, Wish},
+};
+use mulberryrack_core::{Name, Time};
+use mulberryrack_site::{config::Engine, order::Action};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Work of a copy above which a further one is worth a load, in milliseconds a second:
+/// from about a tenth of an engine on, requests wait for one another.
+const BUSY_MS: f64 = 80.0;
+/// Share of the busiest holder's work that the engine of a new copy may have afterwards.
+const BETTER_SHARE: f64 = 0.75;
+/// Loads from the weight store at once; the store slows down beyond a few.
+const LOADS_AT_ONCE: usize = 5;
+/// Unloads at once, to make way.
+const UNLOADS_AT_ONCE: usize = 3;
+/// Time that a copy stays at least.
+const COPY_STAYS: Duration = Duration::from_secs(4);
+/// Work of an adapter above which it is worth a second engine, in milliseconds a second.
+const BUSY_ADAPTER_MS: f64 = 15.0;
+/// Adapters that are brought to further engines in one plan.
+const ADAPTERS_AT_ONCE: usize = 3;
+
+/// One look at the engines of a service.
+pub struct Balance<'a> {
+    planner: &'a mut Planner,
+    now: Time,
+    service: &'a Name,
+    engine: &'a Engine,
+    out: &'a mut Vec<Wish>,
+    /// Copies of each model, those on their way included.
+    copies: BTreeMap<Name, u32>,
+    /// Work of each engine that serves, in milliseconds a second.
+    load: BTreeMap<Name, f64>,
+}
+
+impl<'a> Balance<'a> {
+    /// Looks at the engines as they are now.
+    pub fn new(
+        planner: &'a mut Planner,
+        now: Time,
+        service: &'a Name,
+        engine: &'a Engine,
+        out: &'a mut Vec<Wish>,
+    ) -> Self {
+        let mut balance = Self {
+            planner,
+            now,
+            service,
+            engine,
+            out,
+            copies: BTreeMap::new(),
+            load: BTreeMap::new(),
+        };
+        balance.survey();
+        balance
+    }
+
+    /// Gives the orders that are worth it.
+    pub fn run(mut self) {
+        self.restore();
+        self.spread();
+        self.spread_adapters();
+    }
+
+    fn serving(&self) -> impl Iterator<Item = &Account> {
+        let accounts = self.planner.engines.values();
+        accounts.filter(|account| account.serves() && account.entry.service == *self.service)
+    }
+
+    fn survey(&mut self) {
+        let models = self.engine.models.iter().map(|model| &model.name);
+        let count = |model: &Name| {
+            let copies = self.serving().filter(|account| account.counts(model)).count();
+            u32::try_from(copies).unwrap_or(u32::MAX)
+        };
+        self.copies = models.map(|model| (model.clone(), count(model))).collect();
+        let mut holders: BTreeMap<(&Name, &Name), u32> = BTreeMap::new();
+        for account in self.serving() {
+            for (model, adapters) in &account.models {
+                for adapter in adapters {
+                    *holders.entry((model, adapter)).or_default() += 1;
+                }
+            }
+        }
+        let work = &self.planner.work;
+        let load = |account: &Account| -> f64 {
+            let models = account.models.iter().map(|(model, adapters)| {
+                let base = work.base(model) / f64::from(self.copies_of(model).max(1));
+                let own = adapters.iter().map(|adapter| {
+                    let shared = f64::from(holders[&(model, adapter)]);
+                    work.of(&(model.clone(), Some(adapter.clone()))) / shared
+                });
+                base + own.sum::<f64>()
+            });
+            models.sum()
+        };
+        let loads = self.serving().map(|account| (account.entry.id.clone(), load(account)));
+        self.load = loads.collect();
+    }
+
+    fn copies_of(&self, model: &Name) -> u32 {
+        self.copies.get(model).copied().unwrap_or(0)
+    }
+
+    fn load_of(&self, account: &Account) -> f64 {
+        self.load.get(&account.entry.id).copied().unwrap_or(0.0)
+    }
+
+    fn size(&self, model: &Name) -> f64 {
+        self.engine.model(model).map_or(f64::INFINITY, |model| model.weights_mb)
+    }
+
+    fn open(&self, action: Action) -> usize {
+        let open = self.serving().filter_map(|account| account.open.as_ref());
+        open.filter(|open| open.adapter.is_none() && open.action == action).count()
+    }
+
+    /// Loads every model that is on no engine, the busiest first.
+    fn restore(&mut self) {
+        let copies = self.copies.iter().filter(|(_, copies)| **copies == 0);
+        let mut missing: Vec<Name> = copies.map(|(model, _)| model.clone()).collect();
+        let work = |model: &Name| self.planner.work.model(model);
+        missing.sort_by(|one, other| work(other).total_cmp(&work(one)));
+        for model in missing {
+            if !self.load_copy(&model, f64::INFINITY, "no-copy") {
+                self.make_way(&model, f64::INFINITY);
+            }
+        }
+    }
+
+    /// Adds a copy of the models whose copies have most to do.
+    fn spread(&mut self) {
+        let work = &self.planner.work;
+        let share = |model: &Name| work.model(model) / f64::from(self.copies_of(model).max(1));
+        let busy = self.copies.iter().filter(|(_, copies)| **copies > 0);
+        let mut busy: Vec<(Name, f64)> = busy
+            .map(|(model, _)| (model.clone(), share(model)))
+            .filter(|(_, share)| *share >= BUSY_MS)
+            .collect();
+        busy.sort_by(|one, other| other.1.total_cmp(&one.1));
+        for (model, _) in busy {
+            let holders = self.serving().filter(|account| account.holds(&model, None));
+            let busiest = holders.map(|account| self.load_of(account)).fold(0.0, f64::max);
+            let bound = busiest * BETTER_SHARE;
+            if !self.load_copy(&model, bound, "busy") {
+                self.make_way(&model, bound);
+            }
+        }
+    }
+
+    /// Loads a model where there is room, on an engine that has at most `bound` to do
+    /// afterwards. Returns false if room has to be made first.
+    fn load_copy(&mut self, model: &Name, bound: f64, why: &'static str) -> bool {
+        if self.open(Action::Load) >= LOADS_AT_ONCE {
+            return true;
+        }
+        let size = self.size(model);
+        let added = self.planner.work.model(model) / f64::from(self.copies_of(model) + 1);
+        let at_hand = |account: &Account| account.entry.at_hand.contains(model);
+        let fits = |account: &&Account| {
+            account.free(self.now)
+                && !account.counts(model)
+                && account.free_mb(self.engine) >= size
+                && self.load_of(account) + added <= bound
+        };
+        let best = self.serving().filter(fits).min_by(|one, other| {
+            let loads = self.load_of(one).total_cmp(&self.load_of(other));
+            at_hand(other).cmp(&at_hand(one)).then(loads)
+        });
+        let Some((name, near)) = best.map(|best| (best.entry.id.clone(), at_hand(best))) else {
+            return false;
+        };
+        let (span, rate) = (self.planner.window_span, self.engine.loads_per_s);
+        if !near {
+            if !self.planner.window.has_room(self.now, span, rate) {
+                return true;
+            }
+            self.planner.window.take(self.now);
+        }
+        self.give(&name, Action::Load, (model, None), why);
+        *self.copies.entry(model.clone()).or_default() += 1;
+        *self.load.entry(name).or_default() += added;
+        true
+    }
+
+    /// Unloads the copy that is missed least, of a model with another copy, on an engine
+    /// that has at most `bound` to do once `model` is there.
+    fn make_way(&mut self, model: &Name, bound: f64) {
+        if self.open(Action::Unload) >= UNLOADS_AT_ONCE {
+            return;
+        }
+        let size = self.size(model);
+        let added = self.planner.work.model(model) / f64::from(self.copies_of(model) + 1);
+        let mut best: Option<(f64, Name, Name)> = None;
+        for account in self.serving() {
+            if !account.free(self.now) || account.counts(model) {
+                continue;
+            }
+            for held in account.models.keys() {
+                let copies = self.copies_of(held);
+                let frees = if self.size(held).is_finite() { self.size(held) } else { 0.0 };
+                let fresh = self.now.since(account.arrived(held)) < COPY_STAYS;
+                if copies < 2 || fresh || account.free_mb(self.engine) + frees < size {
+                    continue;
+                }
+                let work = self.planner.work.model(held);
+                // What its other copies get, and what the engine has to do then.
+                let passed_on = work / f64::from(copies - 1);
+                let left = self.load_of(account) - work / f64::from(copies);
+                let cost = passed_on.max(left + added);
+                if cost <= bound && best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                    best = Some((cost, account.entry.id.clone(), held.clone()));
+                }
+            }
+        }
+        if let Some((_, name, victim)) = best {
+            self.give(&name, Action::Unload, (&victim, None), "make-way");
+            *self.copies.entry(victim).or_default() -= 1;
+        }
+    }
+
+    /// Brings busy adapters to further copies of their model.
+    fn spread_adapters(&mut self) {
+        let mut brought = 0;
+        for (model, adapter, work) in self.planner.work.adapters() {
+            if work < BUSY_ADAPTER_MS || brought >= ADAPTERS_AT_ONCE {
+                return;
+            }
+            let key = Some(&*adapter);
+            let holders = self.serving().filter(|account| account.holds(&model, key));
+            let Some(least) = holders.map(|it| self.load_of(it)).reduce(f64::min) else {
+                continue;
+            };
+            let free = |account: &&Account| {
+                account.free(self.now)
+                    && account.holds(&model, None)
+                    && !account.holds(&model, key)
+                    && account.adapters() < self.places()
+                    && self.load_of(account) <= least * BETTER_SHARE
+            };
+            let best = self.serving().filter(free).min_by(|one, other| {
+                self.load_of(one).total_cmp(&self.load_of(other))
+            });
+            if let Some(name) = best.map(|best| best.entry.id.clone()) {
+                self.give(&name, Action::Load, (&model, Some(&adapter)), "busy-adapter");
+                brought += 1;
+            }
+        }
+    }
+
+    fn places(&self) -> usize {
+        usize::try_from(self.engine.adapter_places).unwrap_or(usize::MAX)
+    }
+
+    /// Brings an adapter to the engine with least to do, or makes a place for it.
+    pub fn bring(mut self, model: &Name, adapter: &Name) {
+        let free = |account: &&Account| account.free(self.now) && account.holds(model, None);
+        let best = self.serving().filter(free).min_by(|one, other| {
+            let full = |account: &Account| account.adapters() >= self.places();
+            let loads = self.load_of(one).total_cmp(&self.load_of(other));
+            full(one).cmp(&full(other)).then(loads)
+        });
+        let Some(best) = best else {
+            return;
+        };
+        let name = best.entry.id.clone();
+        if best.adapters() < self.places() {
+            self.give(&name, Action::Load, (model, Some(adapter)), "adapter");
+            return;
+        }
+        let held = best.models.iter().flat_map(|(of, adapters)| {
+            adapters.iter().map(move |adapter| (of.clone(), Some(adapter.clone())))
+        });
+        let victim = held.min_by_key(|key| self.planner.work.asked(key));
+        if let Some((of, victim)) = victim {
+            self.give(&name, Action::Unload, (&of, victim.as_ref()), "adapter-places");
+        }
+    }
+
+    fn give(
+        &mut self,
+        engine: &Name,
+        action: Action,
+        what: (&Name, Option<&Name>),
+        why: &'static str,
+    ) {
+        let wish = self.planner.wish(self.now, engine, action, what, why);
+        self.out.push(wish);
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,9 +5,11 @@
 //! an order to each at most at once.
 
 mod account;
+mod balance;
 mod claim;
 mod planner;
 mod window;
+mod work;
 
 pub use claim::{Claim, Stand};
 pub use planner::{Demand, Planner, Wish};
--- /dev/null
+++ b/crates/fleet/src/work.rs
@@ -0,0 +1,84 @@
+//! How busy models and adapters are.
+
+use mulberryrack_core::{Name, Time};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Weight of a new second: demand for a model moves tenfold within seconds of a release.
+const SMOOTHING: f64 = 0.5;
+/// Work below which a model or adapter counts as idle, in milliseconds a second.
+const IDLE_MS: f64 = 0.5;
+
+/// A model, or an adapter of it.
+pub type Key = (Name, Option<Name>);
+
+/// Engine time that requests take, in milliseconds a second, by model and adapter.
+#[derive(Debug, Default)]
+pub struct Work {
+    smoothed: BTreeMap<Key, f64>,
+    /// Since the last second began.
+    fresh: BTreeMap<Key, f64>,
+    second: Time,
+    asked: BTreeMap<Key, Time>,
+}
+
+impl Work {
+    /// Takes requests for a model or adapter.
+    pub fn take(&mut self, now: Time, key: Key, millis: f64) {
+        self.asked.insert(key.clone(), now);
+        *self.fresh.entry(key).or_default() += millis;
+    }
+
+    /// Notes that an adapter was asked for.
+    pub fn ask(&mut self, now: Time, key: Key) {
+        self.asked.insert(key, now);
+    }
+
+    /// Smooths the figures once a second.
+    pub fn age(&mut self, now: Time) {
+        let passed = now.since(self.second);
+        if passed < Duration::from_secs(1) {
+            return;
+        }
+        self.second = now;
+        for key in self.fresh.keys() {
+            self.smoothed.entry(key.clone()).or_default();
+        }
+        let fresh = std::mem::take(&mut self.fresh);
+        for (key, work) in &mut self.smoothed {
+            let now = fresh.get(key).copied().unwrap_or(0.0) / passed.as_secs_f64();
+            *work += SMOOTHING * (now - *work);
+        }
+        self.smoothed.retain(|_, work| *work > IDLE_MS);
+    }
+
+    /// Work of requests for a model without an adapter.
+    pub fn base(&self, model: &Name) -> f64 {
+        self.of(&(model.clone(), None))
+    }
+
+    /// Work of a model with all its adapters.
+    pub fn model(&self, model: &Name) -> f64 {
+        let all = self.smoothed.iter();
+        all.filter(|((of, _), _)| of == model).map(|(_, work)| work).sum()
+    }
+
+    /// Work of one key.
+    pub fn of(&self, key: &Key) -> f64 {
+        self.smoothed.get(key).copied().unwrap_or(0.0)
+    }
+
+    /// Adapters with work, the busiest first.
+    pub fn adapters(&self) -> Vec<(Name, Name, f64)> {
+        let busy = self.smoothed.iter().filter_map(|((model, adapter), work)| {
+            Some((model.clone(), adapter.clone()?, *work))
+        });
+        let mut busy: Vec<_> = busy.collect();
+        busy.sort_by(|one, other| other.2.total_cmp(&one.2));
+        busy
+    }
+
+    /// When a key was asked for last.
+    pub fn asked(&self, key: &Key) -> Time {
+        self.asked.get(key).copied().unwrap_or(Time::ZERO)
+    }
+}
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -93,7 +93,7 @@
         };
         let own = generation.parts.last().map_or(0, |part| part.tokens);
         let unread = if home { own } else { generation.prompt_tokens.max(own) };
-        let read_ms = f64::from(unread) / self.tuning.read_tokens_per_ms;
+        let read_ms = self.paces.read_ms(&generation.model, unread);
         let waiting = known.load.map_or(0, |(load, ..)| load.waiting);
         let cost = read_ms
             + known.pending_ms
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     budget::Budget,
+    pace::Paces,
     pass::{Ending, Pass, Step, Target},
     upstreams::{UpstreamId, Upstreams},
 };
@@ -21,8 +22,6 @@
 /// Figures that the decisions go by.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
-    /// Prompt tokens that an engine reads in a millisecond; from the users' sheets.
-    pub read_tokens_per_ms: f64,
     /// What a running request adds to the time of another, in milliseconds.
     pub run_ms: f64,
     /// What a waiting request adds to the time of another, in milliseconds: the time to
@@ -43,7 +42,6 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            read_tokens_per_ms: 40.0,
             run_ms: 4.0,
             wait_ms: 120.0,
             jitter_ms: 2.0,
@@ -73,10 +71,8 @@
     pub model: Name,
     /// The adapter; `None` for the model itself.
     pub adapter: Option<Name>,
-    /// Requests.
-    pub requests: u32,
-    /// Tokens of their prompts, and of their answers at most.
-    pub tokens: u64,
+    /// Engine time that the requests take, in milliseconds.
+    pub work_ms: f64,
 }
 
 /// Decisions of one host.
@@ -89,7 +85,8 @@
     pub(crate) hosts: u32,
     config: Option<Arc<Config>>,
     budgets: BTreeMap<Name, Budget>,
-    wanted: BTreeMap<(Name, Option<Name>), (u32, u64)>,
+    wanted: BTreeMap<(Name, Option<Name>), f64>,
+    pub(crate) paces: Paces,
 }
 
 impl Gate {
@@ -104,6 +101,7 @@
             config: None,
             budgets: BTreeMap::new(),
             wanted: BTreeMap::new(),
+            paces: Paces::default(),
         }
     }
 
@@ -154,11 +152,10 @@
     pub fn take_wanted(&mut self) -> Vec<Wanted> {
         std::mem::take(&mut self.wanted)
             .into_iter()
-            .map(|((model, adapter), (requests, tokens))| Wanted {
+            .map(|((model, adapter), work_ms)| Wanted {
                 model,
                 adapter,
-                requests,
-                tokens,
+                work_ms,
             })
             .collect()
     }
@@ -210,9 +207,10 @@
     fn count(&mut self, ask: &Ask) {
         if let Some(it) = &ask.generation {
             let key = (it.model.clone(), it.adapter.clone());
-            let count = self.wanted.entry(key).or_default();
-            count.0 += 1;
-            count.1 += u64::from(it.prompt_tokens) + 10 * u64::from(it.output_tokens);
+            let own = it.parts.last().map_or(it.prompt_tokens, |part| part.tokens);
+            let work_ms = self.paces.read_ms(&it.model, own)
+                + self.paces.write_ms(&it.model, it.output_tokens);
+            *self.wanted.entry(key).or_default() += work_ms;
         }
     }
 
@@ -286,6 +284,14 @@
         give_up(pass, reason, Some(COME_BACK))
     }
 
+    /// Takes the time between two events of a stream of a model.
+    pub fn paced(&mut self, model: &Name, service: &str, gap: Duration) {
+        let service = self.config.as_ref().and_then(|config| config.service(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let tokens = engine.map_or(1, |engine| engine.event_tokens);
+        self.paces.take(model, gap / tokens);
+    }
+
     /// Takes that something came from an upstream.
     pub fn heard(&mut self, now: Time, id: UpstreamId) {
         self.upstreams.get_mut(id).heard = now;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 mod budget;
 mod choice;
 mod gate;
+mod pace;
 mod pass;
 mod upstreams;
 
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -87,6 +87,8 @@
 pub struct Engine {
     /// Requests that one engine runs at once.
     pub slots: u32,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
     /// Tokens that an engine's cache holds.
     pub cache_tokens: u64,
     /// Megabytes for weights and adapters together.
