--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,6 +4,7 @@
     client::{Connection, Fault, Peer},
     events::Splitter,
     journal::journal,
+    notices,
     peers::{self, Link},
     shared::Shared,
 };
@@ -61,6 +62,10 @@
     begun: bool,
     /// Id of the last event that went out.
     last: Option<String>,
+    /// When the last event came, and the longest time between two.
+    paused: Option<(Time, Duration)>,
+    /// Time from the arrival to the first event.
+    first: Option<Duration>,
     /// An upstream's failure, kept in case that no other answer comes.
     failure: Option<Response<Bytes>>,
 }
@@ -104,6 +109,7 @@
             let changed = shared.changed.notified();
             let now = self.shared.clock.now();
             let step = self.shared.gate.borrow_mut().step(now, pass, retry);
+            notices::tell(&shared);
             match step {
                 Step::Send(target) => match self.send(pass, &target).await {
                     Sent::Over(ending) => return self.over(pass, &target, ending),
@@ -178,6 +184,11 @@
             running = running,
             waiting = waiting,
             load_age_ms = age,
+            read_ms = target.read_ms.round(),
+            backlog_ms = target.backlog_ms.round(),
+            first_ms = self.progress.first.map_or(0, |first| first.as_millis()),
+            longest_pause_ms = self.progress.paused.map_or(0, |it| it.1.as_millis()),
+            model = pass.ask.generation.as_ref().map_or("-", |it| &it.model),
             retry = target.retry.map_or("-", Retry::label),
             ending = format_args!("{ending:?}"),
             took_ms = self.took(pass).as_millis(),
@@ -389,7 +400,7 @@
         if self.progress.begun {
             return Self::lost(Fault::Broken);
         }
-        self.first(pass, target);
+        self.first(pass);
         self.tell(Part::Whole(answer)).await;
         Sent::Over(Ending::Done)
     }
@@ -399,8 +410,12 @@
         self.shared.gate.borrow_mut().heard(now, target.id);
     }
 
-    fn first(&self, pass: &mut Pass, target: &Target) {
-        self.shared.gate.borrow_mut().first_event(pass, target.id);
+    fn first(&mut self, pass: &mut Pass) {
+        let took = self.took(pass);
+        self.progress.first.get_or_insert(took);
+        let now = self.shared.clock.now();
+        self.progress.paused.get_or_insert((now, Duration::ZERO));
+        self.shared.gate.borrow_mut().first_event(pass);
         if !self.progress.begun {
             self.shared.metrics.first_event(self.took(pass));
         }
@@ -430,6 +445,10 @@
                 Some(Err(_)) => return Self::lost(Fault::Broken),
                 None => break,
             }
+            self.progress.paused = self.progress.paused.map(|(last, longest)| {
+                let now = self.shared.clock.now();
+                (now, longest.max(now.since(last)))
+            });
             if head.is_none()
                 && let Some(generation) = &pass.ask.generation
             {
@@ -439,7 +458,7 @@
             }
             while let Some(event) = splitter.next_event() {
                 if let Some(head) = head.take() {
-                    self.first(pass, target);
+                    self.first(pass);
                     self.begin(head).await;
                 }
                 self.progress.last = event.id.or(self.progress.last.take());
@@ -450,7 +469,7 @@
             }
         }
         if let Some(head) = head.take() {
-            self.first(pass, target);
+            self.first(pass);
             self.begin(head).await;
         }
         let rest = splitter.rest();
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -8,7 +8,7 @@
     journal::journal,
     membership,
     metrics::Metrics,
-    orders,
+    notices, orders,
     peers::{self, Link},
     shared::{Phase, Shared},
     socket, watch,
@@ -25,6 +25,7 @@
     time::Duration,
 };
 use tokio::{
+    net::UdpSocket,
     runtime::Builder,
     signal::unix::{SignalKind, signal},
     sync::Notify,
@@ -52,7 +53,11 @@
     LocalSet::new().block_on(&runtime, serve(settings, Rc::new(dialect)))
 }
 
-fn share<D: Dialect>(settings: Settings, dialect: Rc<D>) -> Rc<Shared<D>> {
+fn share<D: Dialect>(
+    settings: Settings,
+    dialect: Rc<D>,
+    datagrams: UdpSocket,
+) -> Rc<Shared<D>> {
     let bounds = settings.bounds;
     let metrics = Rc::new(Metrics::new());
     let tuning = Tuning {
@@ -68,12 +73,14 @@
         clock: Clock::start(),
         client: Rc::new(Client::default()),
         metrics,
+        datagrams,
         gate: RefCell::new(Gate::new(tuning, seed)),
         planner: RefCell::new(Planner::new(bounds.load_window)),
-        claim: RefCell::new(Claim::new(bounds.order_lease, bounds.order_lease)),
+        claim: RefCell::new(Claim::new(membership::LEASE.max(settings.lease_min), bounds.order_lease)),
         hosts: RefCell::default(),
         holder: RefCell::default(),
         phase: Cell::new(Phase::Starting),
+        store_reached: Cell::new(false),
         changed: Notify::new(),
         phased: Notify::new(),
         open: Cell::new(0),
@@ -87,7 +94,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let shared = share(settings, dialect);
+    let datagrams = UdpSocket::bind(settings.peers).await?;
+    let shared = share(settings, dialect, datagrams);
     let link = Rc::new(Link::default());
     let settings = &shared.settings;
     let callers = socket::listen(settings.callers)?;
@@ -96,6 +104,7 @@
     }
     task::spawn_local(peers::serve(shared.clone(), socket::listen(settings.peers)?));
     task::spawn_local(caller::serve(shared.clone(), link.clone(), callers));
+    task::spawn_local(notices::hear(shared.clone()));
     task::spawn_local(watch::run(shared.clone()));
     task::spawn_local(orders::run(shared.clone()));
     task::spawn_local(peers::report(shared.clone(), link));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod journal;
 mod membership;
 mod metrics;
+mod notices;
 mod orders;
 mod peers;
 mod seat;
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -13,13 +13,15 @@
 use mulberryrack_fleet::Stand;
 use mulberryrack_site::Dialect;
 use std::{rc::Rc, sync::Arc, time::Duration};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// Time to live of this host's lease; a host that is gone is out of the address answers
 /// after it.
-const LEASE: Duration = Duration::from_millis(3_000);
+pub const LEASE: Duration = Duration::from_millis(2_400);
 /// Time between two renewals: two may be lost before the lease lapses.
-const RENEWAL: Duration = Duration::from_millis(900);
+const RENEWAL: Duration = Duration::from_millis(650);
+/// Time between two looks whether the claim is free.
+const CLAIM_CHECK: Duration = Duration::from_millis(200);
 /// Longest random wait before a claim that is free is written, so that hosts do not all
 /// write at once.
 const CLAIM_SPREAD_MS: u64 = 300;
@@ -35,14 +37,19 @@
 /// Keeps this host's keys until it leaves, then removes them.
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut tenancy = Tenancy::default();
+    let mut next = Instant::now();
     while !shared.leaving() {
-        keep(&shared, &mut tenancy).await;
-        let next = time::sleep(RENEWAL);
         let phased = shared.phased.notified();
+        if Instant::now() >= next {
+            keep(&shared, &mut tenancy).await;
+            next = Instant::now() + RENEWAL;
+        } else {
+            take_seat(&shared, &mut tenancy).await;
+            claim_if_free(&shared, &tenancy).await;
+        }
         tokio::select! {
-            () = next => {}
+            () = time::sleep_until(next.min(Instant::now() + CLAIM_CHECK)) => {}
             () = phased => {}
-            () = shared.changed.notified() => claim_if_free(&shared, &tenancy).await,
         }
     }
     shared.claim.borrow_mut().lost();
@@ -69,10 +76,6 @@
             }
         },
     }
-    if shared.phase.get() == Phase::Serving {
-        take_seat(shared, tenancy).await;
-        claim_if_free(shared, tenancy).await;
-    }
 }
 
 async fn grant<D: Dialect>(shared: &Shared<D>, tenancy: &mut Tenancy) {
@@ -91,6 +94,9 @@
     let (Some(lease), None) = (tenancy.lease, tenancy.seat) else {
         return;
     };
+    if shared.phase.get() != Phase::Serving {
+        return;
+    }
     let key: Arc<str> = format!("{SEATS}{}", shared.settings.host).into();
     let mut expect = None;
     // A key of this host's last life may still be there.
@@ -132,7 +138,7 @@
     let (Some(lease), Some(_)) = (tenancy.lease, tenancy.seat) else {
         return;
     };
-    if shared.claim.borrow().stand(now) != Stand::None {
+    if shared.claim.borrow().stand(now) != Stand::None || !shared.store_reached.get() {
         return;
     }
     let seed = now.as_micros();
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -3,10 +3,12 @@
 use crate::{
     client::{Fault, Peer},
     journal::journal,
+    notices,
     shared::Shared,
 };
 use mulberryrack_core::Name;
 use mulberryrack_fleet::{Demand, Stand, Wish};
+use mulberryrack_gate::Change;
 use mulberryrack_site::{
     Dialect, Order,
     order::{Action, Verdict},
@@ -79,15 +81,33 @@
     };
     if let Some(report) = report {
         let now = shared.clock.now();
-        shared.planner.borrow_mut().report(now, &name, &report);
+        let arrived = shared.planner.borrow_mut().report(now, &name, &report);
+        if let Some(model) = arrived {
+            let change = Change {
+                upstream: name,
+                model,
+                adapter: None,
+                present: true,
+            };
+            notices::tell_change(shared, &change);
+        }
     }
 }
 
 /// Gives an order, if this host may at this very moment.
 pub async fn give<D: Dialect>(shared: Rc<Shared<D>>, wish: Wish) {
+    if wish.action == Action::Unload {
+        notices::tell_change(&shared, &change(&wish, false));
+    }
     let verdict = send(&shared, &wish).await;
     let now = shared.clock.now();
     shared.planner.borrow_mut().answered(now, &wish.engine, verdict);
+    let done = matches!(verdict, Verdict::Accepted | Verdict::Held);
+    let adapter_there = wish.adapter.is_some() && wish.action == Action::Load && done;
+    let still_there = wish.action == Action::Unload && !done && verdict != Verdict::Unanswered;
+    if adapter_there || still_there {
+        notices::tell_change(&shared, &change(&wish, true));
+    }
     let action = match wish.action {
         Action::Load => "load",
         Action::Unload => "unload",
@@ -107,6 +127,15 @@
     shared.changed.notify_waiters();
 }
 
+fn change(wish: &Wish, present: bool) -> Change {
+    Change {
+        upstream: wish.engine.clone(),
+        model: wish.model.clone(),
+        adapter: wish.adapter.clone(),
+        present,
+    }
+}
+
 const fn label(verdict: Verdict) -> &'static str {
     match verdict {
         Verdict::Accepted => "accepted",
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -7,6 +7,7 @@
 };
 use mulberryrack_core::Name;
 use mulberryrack_fleet::Demand;
+use mulberryrack_gate::Change;
 use mulberryrack_site::Dialect;
 use mulberryrack_wire::plan::{
     self,
@@ -198,8 +199,14 @@
     link.asking.borrow_mut().remove(&key);
     journal!(info, "adapter-placed", model = model, adapter = adapter, engines = engines.len());
     let now = shared.clock.now();
-    for engine in &engines {
-        shared.gate.borrow_mut().learn(now, engine, &model, &adapter);
+    for engine in engines {
+        let change = Change {
+            upstream: engine,
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+            present: true,
+        };
+        shared.gate.borrow_mut().change(now, &change);
     }
     shared.changed.notify_waiters();
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -17,7 +17,7 @@
     collections::BTreeMap,
     rc::Rc,
 };
-use tokio::sync::Notify;
+use tokio::{net::UdpSocket, sync::Notify};
 
 /// How far a host is between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,8 @@
     pub client: Rc<Client>,
     pub store: Store<D>,
     pub metrics: Rc<Metrics>,
+    /// Datagrams between hosts, on the port of the calls between them.
+    pub datagrams: UdpSocket,
     pub gate: RefCell<Gate>,
     pub planner: RefCell<Planner>,
     pub claim: RefCell<Claim>,
@@ -48,6 +50,8 @@
     /// The host that holds the claim to give orders, and the revision of its key.
     pub holder: RefCell<Option<(Seat, Revision)>>,
     pub phase: Cell<Phase>,
+    /// Whether the key-value service answered the last watch.
+    pub store_reached: Cell<bool>,
     /// Told when upstreams, placements or hosts have changed.
     pub changed: Notify,
     /// Told when the phase has changed.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -29,7 +29,6 @@
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut pause = FIRST_PAUSE;
     let mut at: Option<Revision> = None;
-    let mut reached = true;
     loop {
         let step = match at {
             None => read_all(&shared).await,
@@ -37,22 +36,21 @@
         };
         match step {
             Ok(revision) => {
-                if !reached {
+                if !shared.store_reached.replace(true) {
                     journal!(info, "store-reached", revision = revision.0);
                 }
-                reached = true;
                 pause = FIRST_PAUSE;
                 at = Some(revision);
             }
             Err(Fault::HistoryGone) => {
+                shared.store_reached.set(true);
                 journal!(warn, "store-history-gone", after = at.map_or(0, |it| it.0));
                 at = None;
             }
             Err(fault) => {
-                if reached {
+                if shared.store_reached.replace(false) {
                     journal!(warn, "store-lost", fault = format_args!("{fault:?}"));
                 }
-                reached = false;
                 time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
@@ -104,7 +102,7 @@
     let seat = |name: &Name| seen.contains(format!("{SEATS}{name}").as_str());
     shared.hosts.borrow_mut().retain(|name, _| seat(name));
     if !seen.contains(CLAIM) {
-        *shared.holder.borrow_mut() = None;
+        set_holder(shared, None);
     }
     count_hosts(shared);
 }
@@ -139,7 +137,7 @@
         list(shared, &id, entry);
     } else if &*entry.key == CLAIM {
         match serde_json::from_slice::<Seat>(&entry.value) {
-            Ok(seat) => *shared.holder.borrow_mut() = Some((seat, entry.revision)),
+            Ok(seat) => set_holder(shared, Some((seat, entry.revision))),
             Err(error) => journal!(warn, "claim-unreadable", error = error),
         }
     } else if entry.key.starts_with(SEATS) {
@@ -210,13 +208,18 @@
     if let Some(id) = shared.dialect.upstream_key(key) {
         unlist(shared, &id);
     } else if key == CLAIM {
-        *shared.holder.borrow_mut() = None;
+        set_holder(shared, None);
     } else if let Some(name) = key.strip_prefix(SEATS) {
         shared.hosts.borrow_mut().remove(name);
         count_hosts(shared);
     }
 }
 
+fn set_holder<D>(shared: &Shared<D>, holder: Option<(Seat, Revision)>) {
+    shared.gate.borrow_mut().set_planned(holder.is_some());
+    *shared.holder.borrow_mut() = holder;
+}
+
 fn count_hosts<D>(shared: &Shared<D>) {
     let hosts = u32::try_from(shared.hosts.borrow().len()).unwrap_or(u32::MAX);
     shared.gate.borrow_mut().set_hosts(hosts);
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -82,6 +82,13 @@
         self.arrivals.get(model).copied().unwrap_or(Time::ZERO)
     }
 
+    /// The model that it was ordered to load.
+    pub fn coming(&self) -> Option<Name> {
+        let open = self.open.as_ref()?;
+        let load = open.adapter.is_none() && open.action == Action::Load;
+        load.then(|| open.model.clone())
+    }
+
     /// Whether it can be given an order.
     pub fn free(&self, now: Time) -> bool {
         self.open.is_none() && self.orders.is_some() && self.blocked_until <= now
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -7,7 +7,10 @@
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_site::{config::Engine, order::Action};
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Work of a copy above which a further one is worth a load, in milliseconds a second:
 /// from about a tenth of an engine on, requests wait for one another.
@@ -65,6 +68,7 @@
         self.restore();
         self.spread();
         self.spread_adapters();
+        self.preload_adapters();
     }
 
     fn serving(&self) -> impl Iterator<Item = &Account> {
@@ -253,6 +257,44 @@
         }
     }
 
+    /// Brings adapters that are on no engine to free places, so that their first request
+    /// need not wait.
+    fn preload_adapters(&mut self) {
+        let mut held: BTreeSet<(Name, Name)> = BTreeSet::new();
+        for account in self.serving() {
+            for (model, adapters) in &account.models {
+                held.extend(adapters.iter().map(|adapter| (model.clone(), adapter.clone())));
+            }
+        }
+        let mut brought = 0;
+        for model in &self.engine.models {
+            for adapter in 1..=model.adapters {
+                let key = (model.name.clone(), Name::from(format!("a{adapter}")));
+                if held.contains(&key) {
+                    continue;
+                }
+                brought += usize::from(self.preload(&key.0, &key.1));
+                if brought >= ADAPTERS_AT_ONCE {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn preload(&mut self, model: &Name, adapter: &Name) -> bool {
+        let free = |account: &&Account| {
+            account.free(self.now)
+                && account.holds(model, None)
+                && account.adapters() < self.places()
+        };
+        let best = self.serving().filter(free).min_by_key(|account| account.adapters());
+        let Some(name) = best.map(|best| best.entry.id.clone()) else {
+            return false;
+        };
+        self.give(&name, Action::Load, (model, Some(adapter)), "preload");
+        true
+    }
+
     fn places(&self) -> usize {
         usize::try_from(self.engine.adapter_places).unwrap_or(usize::MAX)
     }
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -3,9 +3,9 @@
 use mulberryrack_core::{Time, kv::Revision};
 use std::time::Duration;
 
-/// Added to the time that two holders must be apart, for clocks that differ and orders
-/// that are still on their way.
-const APART_MARGIN: Duration = Duration::from_millis(500);
+/// Added to the time that two holders must be apart, for orders that are still on their
+/// way.
+const APART_MARGIN: Duration = Duration::from_millis(200);
 /// Kept back from the lease's time, for the way of an order to its engine.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -83,11 +83,12 @@
         }
     }
 
-    /// Takes an engine's report over.
-    pub fn report(&mut self, now: Time, engine: &str, report: &Report) {
-        if let Some(account) = self.engines.get_mut(engine) {
-            account.report(now, report);
-        }
+    /// Takes an engine's report over. Returns the model that has just arrived there.
+    pub fn report(&mut self, now: Time, engine: &str, report: &Report) -> Option<Name> {
+        let account = self.engines.get_mut(engine)?;
+        let coming = account.coming();
+        account.report(now, report);
+        coming.filter(|model| account.open.is_none() && account.holds(model, None))
     }
 
     /// Takes what hosts were asked for.
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -54,7 +54,7 @@
         let home = generation.and_then(|it| self.home(it, &pool));
         let offers: Vec<Offer> = pool
             .iter()
-            .map(|&id| self.offer(id, pass, home == Some(id)))
+            .map(|&id| self.offer(now, id, pass, home == Some(id)))
             .collect();
         let best = offers
             .into_iter()
@@ -79,7 +79,7 @@
             .max_by(|one, other| weight(one).total_cmp(&weight(other)))
     }
 
-    fn offer(&mut self, id: UpstreamId, pass: &Pass, home: bool) -> Offer {
+    fn offer(&mut self, now: Time, id: UpstreamId, pass: &Pass, home: bool) -> Offer {
         let jitter = self.rng.random_range(0.0..self.tuning.jitter_ms);
         let known = self.upstreams.get(id);
         let Some(generation) = &pass.ask.generation else {
@@ -91,14 +91,17 @@
                 read_ms: 0.0,
             };
         };
-        let own = generation.parts.last().map_or(0, |part| part.tokens);
-        let unread = if home { own } else { generation.prompt_tokens.max(own) };
+        let unread = generation.prompt_tokens.saturating_sub(known.cache.kept(now, &pass.chain));
         let read_ms = self.paces.read_ms(&generation.model, unread);
-        let waiting = known.load.map_or(0, |(load, ..)| load.waiting);
-        let cost = read_ms
-            + known.pending_ms
-            + f64::from(waiting) * self.tuning.wait_ms
+        let backlog = known.reads_until.since(now).as_secs_f64() * 1_000.0;
+        let busy = backlog + read_ms;
+        // A long row of prompts holds up every stream of the engine.
+        let crowding = (busy - self.tuning.crowded_ms).max(0.0);
+        let preferred = if home { 0.0 } else { self.tuning.stray_ms };
+        let cost = busy
+            + crowding * self.tuning.crowding
             + known.estimate(self.hosts) * self.tuning.run_ms
+            + preferred
             + jitter;
         Offer { id, cost, read_ms }
     }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     budget::Budget,
+    cache::Chain,
     pace::Paces,
     pass::{Ending, Pass, Step, Target},
     upstreams::{UpstreamId, Upstreams},
@@ -24,9 +25,14 @@
 pub struct Tuning {
     /// What a running request adds to the time of another, in milliseconds.
     pub run_ms: f64,
-    /// What a waiting request adds to the time of another, in milliseconds: the time to
-    /// read a prompt of usual length.
-    pub wait_ms: f64,
+    /// Time of reading in a row, in milliseconds, from which the streams of an engine
+    /// pause noticeably: half of the users' shortest bound for a pause.
+    pub crowded_ms: f64,
+    /// Weight of the time beyond [`Tuning::crowded_ms`].
+    pub crowding: f64,
+    /// What sending a prompt to another engine than the one that all hosts would take
+    /// first costs, in milliseconds: it may keep the shared parts from before.
+    pub stray_ms: f64,
     /// Largest random addition to a cost, so that equal upstreams share the load.
     pub jitter_ms: f64,
     /// Share of the requests that may be repeated, over all hosts.
@@ -35,7 +41,7 @@
     pub retry_extra: f64,
     /// Window in which repeats are counted.
     pub retry_window: Duration,
-    /// Longest that a request waits for its model, as a share of the time it has.
+    /// Longest that a request waits for its model, as a share of its objective.
     pub place_share: f64,
 }
 
@@ -43,12 +49,14 @@
     fn default() -> Self {
         Self {
             run_ms: 4.0,
-            wait_ms: 120.0,
+            crowded_ms: 250.0,
+            crowding: 1.5,
+            stray_ms: 15.0,
             jitter_ms: 2.0,
             retry_share: 0.2,
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
-            place_share: 0.6,
+            place_share: 0.9,
         }
     }
 }
@@ -75,18 +83,45 @@
     pub work_ms: f64,
 }
 
+/// A prompt that a host sends to an engine, as the other hosts are told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Notice {
+    /// The engine.
+    pub upstream: Name,
+    /// Time that it takes to read what it does not keep, in milliseconds.
+    pub read_ms: f64,
+    /// Hashes of the prompt's beginnings.
+    pub links: Vec<u64>,
+}
+
+/// A model or adapter that an engine has from now on, or no longer takes requests for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The engine.
+    pub upstream: Name,
+    /// The model.
+    pub model: Name,
+    /// The adapter; `None` for the model itself.
+    pub adapter: Option<Name>,
+    /// Whether it is there.
+    pub present: bool,
+}
+
 /// Decisions of one host.
 #[derive(Debug)]
 pub struct Gate {
     pub(crate) tuning: Tuning,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) upstreams: Upstreams,
+    /// Whether some host gives orders.
+    planned: bool,
     /// Hosts that share the load and the budget; at least one.
     pub(crate) hosts: u32,
     config: Option<Arc<Config>>,
     budgets: BTreeMap<Name, Budget>,
     wanted: BTreeMap<(Name, Option<Name>), f64>,
     pub(crate) paces: Paces,
+    notices: Vec<Notice>,
 }
 
 impl Gate {
@@ -97,11 +132,13 @@
             tuning,
             rng: ChaCha8Rng::seed_from_u64(seed),
             upstreams: Upstreams::default(),
+            planned: false,
             hosts: 1,
             config: None,
             budgets: BTreeMap::new(),
             wanted: BTreeMap::new(),
             paces: Paces::default(),
+            notices: Vec::new(),
         }
     }
 
@@ -130,15 +167,20 @@
         self.upstreams.unlist(name);
     }
 
+    /// Sets whether some host gives orders, so that waiting for a model is of use.
+    pub fn set_planned(&mut self, planned: bool) {
+        self.planned = planned;
+    }
+
     /// Sets how many hosts share the load.
     pub fn set_hosts(&mut self, hosts: u32) {
         self.hosts = hosts.max(1);
     }
 
-    /// Takes a placement that the planner told of.
-    pub fn learn(&mut self, now: Time, engine: &str, model: &Name, adapter: &Name) {
-        if let Some(id) = self.upstreams.find(engine) {
-            self.upstreams.get_mut(id).learn(now, model, adapter);
+    /// Takes a change of what an engine holds that the planner told of.
+    pub fn change(&mut self, now: Time, change: &Change) {
+        if let Some(id) = self.upstreams.find(&change.upstream) {
+            self.upstreams.get_mut(id).learn(now, change);
         }
     }
 
@@ -148,6 +190,19 @@
         listed.map(|(_, known)| &known.entry)
     }
 
+    /// What the other hosts are to be told since the last call.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Takes what another host tells.
+    pub fn notice(&mut self, now: Time, notice: &Notice) {
+        if let Some(id) = self.upstreams.find(&notice.upstream) {
+            let known = self.upstreams.get_mut(id);
+            known.reads(now, notice.read_ms, notice.links.iter().copied());
+        }
+    }
+
     /// Requests by model and adapter since the last call.
     pub fn take_wanted(&mut self) -> Vec<Wanted> {
         std::mem::take(&mut self.wanted)
@@ -178,6 +233,7 @@
         };
         let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
         self.count(&ask);
+        let chain = ask.generation.as_ref().map(Chain::of).unwrap_or_default();
         Ok(Pass {
             ask,
             route: route.clone(),
@@ -188,7 +244,7 @@
             sent: Vec::new(),
             avoid: Vec::new(),
             may_have_run: false,
-            pending_ms: 0.0,
+            chain,
         })
     }
 
@@ -237,16 +293,26 @@
         if !again {
             pass.sent.push(offer.id);
         }
-        pass.pending_ms = offer.read_ms;
         let known = self.upstreams.get_mut(offer.id);
+        let backlog_ms = known.reads_until.since(now).as_secs_f64() * 1_000.0;
         known.running += 1;
-        known.pending_ms += offer.read_ms;
+        if !pass.chain.links.is_empty() {
+            let links: Vec<u64> = pass.chain.links.iter().map(|link| link.0).collect();
+            known.reads(now, offer.read_ms, links.iter().copied());
+            self.notices.push(Notice {
+                upstream: known.entry.id.clone(),
+                read_ms: offer.read_ms,
+                links,
+            });
+        }
         Step::Send(Target {
             id: offer.id,
             name: known.entry.id.clone(),
             address: known.entry.address,
             urgency: pass.ask.generation.is_some().then_some(pass.route.priority.min(9)),
             load: known.load.map(|(load, at, _)| (load, now.since(at))),
+            read_ms: offer.read_ms,
+            backlog_ms,
             candidates,
             retry,
         })
@@ -275,9 +341,8 @@
             let engine = service.and_then(|service| service.engine.as_ref());
             engine.is_some_and(|engine| engine.model(&it.model).is_some())
         });
-        let whole = pass.deadline.since(pass.arrived);
-        let until = pass.arrived + whole.mul_f64(self.tuning.place_share);
-        if placeable && !pass.may_have_run && now < until {
+        let until = pass.arrived + pass.route.objective.mul_f64(self.tuning.place_share);
+        if placeable && self.planned && !pass.may_have_run && now < until {
             return Step::Place(until);
         }
         let reason = if placeable { Reason::NoCopy } else { Reason::NoUpstream };
@@ -319,19 +384,14 @@
     }
 
     /// Takes the first event of an answer: the prompt is read.
-    pub fn first_event(&mut self, pass: &mut Pass, id: UpstreamId) {
+    pub fn first_event(&mut self, pass: &mut Pass) {
         pass.may_have_run = true;
-        let known = self.upstreams.get_mut(id);
-        known.pending_ms = (known.pending_ms - pass.pending_ms).max(0.0);
-        pass.pending_ms = 0.0;
     }
 
     /// Takes how a send ended. [`Gate::step`] tells what comes next, if anything does.
     pub fn ended(&mut self, now: Time, pass: &mut Pass, id: UpstreamId, ending: Ending) {
         let known = self.upstreams.get_mut(id);
         known.running = known.running.saturating_sub(1);
-        known.pending_ms = (known.pending_ms - pass.pending_ms).max(0.0);
-        pass.pending_ms = 0.0;
         known.judge(now, ending);
         match ending {
             Ending::NotSent => {
@@ -340,7 +400,12 @@
             }
             Ending::Misplaced => match &pass.ask.generation {
                 // It may be sent there again once the model is placed.
-                Some(it) => known.unlearn(&it.model, it.adapter.as_deref()),
+                Some(it) => known.learn(now, &Change {
+                    upstream: known.entry.id.clone(),
+                    model: it.model.clone(),
+                    adapter: it.adapter.clone(),
+                    present: false,
+                }),
                 None => pass.avoid.push(id),
             },
             Ending::NotRun => pass.avoid.push(id),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 //! upstreams of one service.
 
 mod budget;
+mod cache;
 mod choice;
 mod gate;
 mod pace;
@@ -17,6 +18,7 @@
 mod upstreams;
 
 pub use budget::Budget;
-pub use gate::{Gate, Tuning, Wanted};
+pub use cache::Chain;
+pub use gate::{Change, Gate, Notice, Tuning, Wanted};
 pub use pass::{Ending, Pass, Step, Target};
 pub use upstreams::UpstreamId;
--- a/crates/gate/src/pass.rs
+++ b/crates/gate/src/pass.rs
@@ -1,6 +1,6 @@
 //! One request on its way through the gate.
 
-use crate::upstreams::UpstreamId;
+use crate::{cache::Chain, upstreams::UpstreamId};
 use mulberryrack_core::{
     Name, Time,
     outcome::{Refusal, Retry},
@@ -33,8 +33,8 @@
     pub(crate) avoid: Vec<UpstreamId>,
     /// Whether it may have run already.
     pub(crate) may_have_run: bool,
-    /// Milliseconds of prompt reading that it was counted with at its upstream.
-    pub(crate) pending_ms: f64,
+    /// Beginnings of its prompt; none for plain services.
+    pub(crate) chain: Chain,
 }
 
 impl Pass {
@@ -80,6 +80,10 @@
     pub urgency: Option<u8>,
     /// Load that the choice went by, and its age.
     pub load: Option<(Load, Duration)>,
+    /// Time to read the part of the prompt that it does not keep, in milliseconds.
+    pub read_ms: f64,
+    /// Time to read the prompts before it, in milliseconds.
+    pub backlog_ms: f64,
     /// Upstreams that could have been chosen.
     pub candidates: usize,
     /// Why it is sent once more; `None` for the first send.
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -1,6 +1,6 @@
 //! What one host knows of each upstream.
 
-use crate::pass::Ending;
+use crate::{cache::Cache, gate::Change, pass::Ending};
 use mulberryrack_core::{Name, Time};
 use mulberryrack_site::upstream::{Load, State, Upstream};
 use std::{collections::BTreeMap, time::Duration};
@@ -15,7 +15,7 @@
 const FIRST_REST: Duration = Duration::from_millis(500);
 /// Longest rest, a little over the time that an engine needs to start again.
 const LONGEST_REST: Duration = Duration::from_secs(4);
-/// Time for which a placement that the planner told of holds although the list does not
+/// Time for which a change that the planner told of holds although the list does not
 /// show it yet: two beats of an engine and the lag of the list.
 const LEARNT: Duration = Duration::from_secs(4);
 
@@ -27,8 +27,10 @@
     pub listed: bool,
     /// Requests of this host that it has.
     pub running: u32,
-    /// Estimated time that the prompts of this host take that it has not read yet.
-    pub pending_ms: f64,
+    /// When it has read all prompts that hosts told of, as far as can be told.
+    pub reads_until: Time,
+    /// What it is believed to keep of prompts.
+    pub cache: Cache,
     /// Load that it told last, when, and this host's requests at that moment.
     pub load: Option<(Load, Time, u32)>,
     /// When anything came from it last.
@@ -38,8 +40,8 @@
     /// Until when it is not chosen while others can be.
     pub rests_until: Time,
     rest: Duration,
-    /// Adapters that the planner told of, until when each is believed.
-    learnt: Vec<(Name, Name, Time)>,
+    /// Changes that the list does not show yet, and until when each is believed.
+    learnt: Vec<(Change, Time)>,
 }
 
 impl Known {
@@ -48,7 +50,8 @@
             entry,
             listed: true,
             running: 0,
-            pending_ms: 0.0,
+            reads_until: Time::ZERO,
+            cache: Cache::default(),
             load: None,
             heard: Time::ZERO,
             strikes: 0,
@@ -63,40 +66,29 @@
         self.listed && self.entry.state == State::Ready
     }
 
-    /// Whether it has what a generation needs.
+    /// Whether it has what a generation needs: what was learnt goes before the list.
     pub fn holds(&self, now: Time, model: &str, adapter: Option<&str>) -> bool {
-        if self.entry.holds(model, adapter) {
-            return true;
-        }
-        let learnt = |adapter: &str| {
-            self.learnt.iter().any(|(of, name, until)| {
-                **of == *model && **name == *adapter && *until > now
-            })
+        let has = |adapter: Option<&str>| {
+            let learnt = self.learnt.iter().find(|(change, until)| {
+                *until > now && *change.model == *model && change.adapter.as_deref() == adapter
+            });
+            learnt.map_or_else(|| self.entry.holds(model, adapter), |(change, _)| change.present)
         };
-        self.entry.holds(model, None) && adapter.is_some_and(learnt)
+        has(None) && (adapter.is_none() || has(adapter))
     }
 
-    /// Takes a placement that the planner told of.
-    pub fn learn(&mut self, now: Time, model: &Name, adapter: &Name) {
-        self.learnt.retain(|(of, name, until)| {
-            *until > now && (of, name) != (model, adapter)
-        });
-        let until = now + LEARNT;
-        self.learnt.push((model.clone(), adapter.clone(), until));
+    /// Takes a change that the planner told of, or that a refusal shows.
+    pub fn learn(&mut self, now: Time, change: &Change) {
+        let same = |old: &Change| old.model == change.model && old.adapter == change.adapter;
+        self.learnt.retain(|(old, until)| *until > now && !same(old));
+        self.learnt.push((change.clone(), now + LEARNT));
     }
 
-    /// Forgets that it holds an adapter or model, after it refused a request for it.
-    pub fn unlearn(&mut self, model: &str, adapter: Option<&str>) {
-        self.learnt
-            .retain(|(of, name, _)| **of != *model || Some(&**name) != adapter);
-        for held in &mut self.entry.models {
-            if &*held.model == model {
-                held.adapters.retain(|name| Some(&**name) != adapter);
-            }
-        }
-        if adapter.is_none() {
-            self.entry.models.retain(|held| &*held.model != model);
-        }
+    /// Takes a prompt that some host sends it.
+    pub fn reads(&mut self, now: Time, read_ms: f64, links: impl Iterator<Item = u64>) {
+        let reading = Duration::from_secs_f64(read_ms.max(0.0) / 1_000.0);
+        self.reads_until = self.reads_until.max(now) + reading;
+        self.cache.take(now, links);
     }
 
     /// Takes how a send ended.
