--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -123,6 +123,13 @@
                         retry = Some(Retry::Broken);
                     }
                 },
+                Step::Hold(until) => {
+                    let wake = self.shared.clock.instant(until);
+                    tokio::select! {
+                        () = time::sleep_until(wake) => {}
+                        () = self.caller.closed() => return self.abandoned(pass),
+                    }
+                }
                 Step::Place(until) => {
                     self.ask_for_placement(pass, link);
                     let wake = self.shared.clock.instant(until.min(now + PLACE_CHECK));
@@ -332,9 +339,9 @@
             return Self::lost(Fault::Broken);
         }
         if pass.route.streaming && head.status.is_success() {
-            return self.stream(pass, target, connection, head, body, &reply).await;
+            return self.stream(pass, target, now, connection, head, body, &reply).await;
         }
-        self.whole(pass, target, connection, head, body, &reply).await
+        self.whole(pass, target, now, connection, head, body, &reply).await
     }
 
     async fn not_run(
@@ -365,6 +372,7 @@
         &mut self,
         pass: &mut Pass,
         target: &Target,
+        sent: Time,
         connection: Connection,
         mut head: response::Parts,
         mut body: Incoming,
@@ -400,7 +408,7 @@
         if self.progress.begun {
             return Self::lost(Fault::Broken);
         }
-        self.first(pass);
+        self.first(pass, target, sent);
         self.tell(Part::Whole(answer)).await;
         Sent::Over(Ending::Done)
     }
@@ -410,12 +418,12 @@
         self.shared.gate.borrow_mut().heard(now, target.id);
     }
 
-    fn first(&mut self, pass: &mut Pass) {
+    fn first(&mut self, pass: &mut Pass, target: &Target, sent: Time) {
+        let now = self.shared.clock.now();
         let took = self.took(pass);
         self.progress.first.get_or_insert(took);
-        let now = self.shared.clock.now();
         self.progress.paused.get_or_insert((now, Duration::ZERO));
-        self.shared.gate.borrow_mut().first_event(pass);
+        self.shared.gate.borrow_mut().first_event(pass, target, now.since(sent));
         if !self.progress.begun {
             self.shared.metrics.first_event(self.took(pass));
         }
@@ -425,6 +433,7 @@
         &mut self,
         pass: &mut Pass,
         target: &Target,
+        sent: Time,
         connection: Connection,
         head: response::Parts,
         mut body: Incoming,
@@ -449,16 +458,9 @@
                 let now = self.shared.clock.now();
                 (now, longest.max(now.since(last)))
             });
-            if head.is_none()
-                && let Some(generation) = &pass.ask.generation
-            {
-                let gap = self.shared.clock.now().since(since);
-                let mut gate = self.shared.gate.borrow_mut();
-                gate.paced(&generation.model, &pass.service, gap);
-            }
             while let Some(event) = splitter.next_event() {
                 if let Some(head) = head.take() {
-                    self.first(pass);
+                    self.first(pass, target, sent);
                     self.begin(head).await;
                 }
                 self.progress.last = event.id.or(self.progress.last.take());
@@ -469,7 +471,7 @@
             }
         }
         if let Some(head) = head.take() {
-            self.first(pass);
+            self.first(pass, target, sent);
             self.begin(head).await;
         }
         let rest = splitter.rest();
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -6,7 +6,10 @@
     order::{Action, Verdict},
     upstream::{Held, Report, State, Upstream},
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Longest time after which an order without an answer is carried out.
 const LATE_ORDER: Duration = Duration::from_secs(13);
@@ -40,6 +43,9 @@
     pub listed: bool,
     /// Adapters in memory by model, as last told.
     pub models: BTreeMap<Name, Vec<Name>>,
+    /// Models that may take memory: those that were ever told of or ordered, until a
+    /// report of an engine at rest shows that they are gone.
+    room: BTreeSet<Name>,
     /// Orders that it is believed to have accepted in this life; `None` until it has told.
     pub orders: Option<u64>,
     /// Invariant: at most one order is open.
@@ -62,6 +68,7 @@
     pub fn new(entry: Upstream) -> Self {
         Self {
             models: by_model(&entry.models),
+            room: entry.models.iter().map(|held| held.model.clone()).collect(),
             orders: None,
             entry,
             listed: true,
@@ -82,6 +89,13 @@
         self.arrivals.get(model).copied().unwrap_or(Time::ZERO)
     }
 
+    /// Whether its own word is needed: an order is open or the count of orders unknown, or
+    /// memory may be free that is not known to be.
+    pub fn unsettled(&self, now: Time) -> bool {
+        let unknown = self.orders.is_none() || self.room.len() > self.models.len();
+        self.open.is_some() || (unknown && self.blocked_until <= now)
+    }
+
     /// The model that it was ordered to load.
     pub fn coming(&self) -> Option<Name> {
         let open = self.open.as_ref()?;
@@ -103,6 +117,9 @@
 
     /// Takes its entry in the list over.
     pub fn list(&mut self, now: Time, entry: Upstream) {
+        if self.listed && entry.older_than(&self.entry) {
+            return;
+        }
         if entry.born != self.entry.born || entry.address != self.entry.address {
             *self = Self::new(entry);
             return;
@@ -110,6 +127,7 @@
         self.listed = true;
         let models = by_model(&entry.models);
         self.entry = entry;
+        self.room.extend(models.keys().cloned());
         // An older word than the last accepted order would undo what is known of it.
         if now.since(self.settled) >= WORD_LAG {
             self.models = models;
@@ -122,16 +140,21 @@
         if report.born != 0 && self.entry.born != 0 && report.born != self.entry.born {
             return;
         }
-        let older = self.orders.is_some_and(|known| report.orders < known);
-        if !older || now.since(self.settled) >= WORD_LAG {
-            self.orders = Some(report.orders);
-            self.models = by_model(&report.models);
-            self.close(now);
-            self.drop_unanswered(now, report);
-        }
         if report.busy && self.open.is_none() {
             self.blocked_until = now + CONFLICT_PAUSE;
         }
+        let older = self.orders.is_some_and(|known| report.orders < known);
+        if older && now.since(self.settled) < WORD_LAG {
+            return;
+        }
+        self.orders = Some(report.orders);
+        self.models = by_model(&report.models);
+        self.close(now);
+        self.drop_unanswered(now, report);
+        self.room.extend(self.models.keys().cloned());
+        if !report.busy && self.open.is_none() {
+            self.room = self.models.keys().cloned().collect();
+        }
     }
 
     /// Gives up an order without an answer that the engine has not accepted: the next
@@ -186,6 +209,9 @@
     /// Takes an order that is about to be sent.
     pub fn send(&mut self, now: Time, action: Action, model: Name, adapter: Option<Name>) {
         let after = self.orders.unwrap_or(0);
+        if action == Action::Load && adapter.is_none() {
+            self.room.insert(model.clone());
+        }
         self.open = Some(Open {
             action,
             model,
@@ -248,14 +274,8 @@
         let largest = engine.models.iter().map(|model| model.adapter_mb);
         let adapters = f64::from(engine.adapter_places) * largest.fold(0.0, f64::max);
         let size = |name: &Name| engine.model(name).map_or(engine.weights_mb, |it| it.weights_mb);
-        let held: f64 = self.models.keys().map(size).sum();
-        let coming = self.open.as_ref().filter(|open| {
-            open.adapter.is_none()
-                && open.action == Action::Load
-                && !self.models.contains_key(&open.model)
-        });
-        let coming = coming.map_or(0.0, |open| size(&open.model));
-        engine.weights_mb - adapters - held - coming
+        let held: f64 = self.room.iter().map(size).sum();
+        engine.weights_mb - adapters - held
     }
 
     /// Adapters that it holds.
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -67,6 +67,7 @@
     pub fn run(mut self) {
         self.restore();
         self.spread();
+        self.level();
         self.spread_adapters();
         self.preload_adapters();
     }
@@ -195,6 +196,12 @@
     /// Unloads the copy that is missed least, of a model with another copy, on an engine
     /// that has at most `bound` to do once `model` is there.
     fn make_way(&mut self, model: &Name, bound: f64) {
+        let all: Vec<Name> = self.load.keys().cloned().collect();
+        self.make_way_on(model, bound, &all);
+    }
+
+    /// As [`Balance::make_way`], on one of these engines.
+    fn make_way_on(&mut self, model: &Name, bound: f64, engines: &[Name]) {
         if self.open(Action::Unload) >= UNLOADS_AT_ONCE {
             return;
         }
@@ -202,7 +209,8 @@
         let added = self.planner.work.model(model) / f64::from(self.copies_of(model) + 1);
         let mut best: Option<(f64, Name, Name)> = None;
         for account in self.serving() {
-            if !account.free(self.now) || account.counts(model) {
+            let named = engines.contains(&account.entry.id);
+            if !named || !account.free(self.now) || account.counts(model) {
                 continue;
             }
             for held in account.models.keys() {
@@ -228,6 +236,55 @@
         }
     }
 
+    /// Models of which an engine has the only copy.
+    fn only_copies<'b>(&'b self, account: &'b Account) -> impl Iterator<Item = &'b Name> {
+        let models = account.models.keys();
+        models.filter(|model| self.copies_of(model) == 1 && account.counts(model))
+    }
+
+    /// Copies an idle model from the engine with most only copies to one with fewer, so
+    /// that every engine has room that can be cleared for a busy model.
+    fn level(&mut self) {
+        if self.open(Action::Load) > 0 || self.open(Action::Unload) > 0 {
+            return;
+        }
+        let count = |account: &Account| self.only_copies(account).count();
+        let Some(most) = self.serving().max_by_key(|account| count(account)) else {
+            return;
+        };
+        let crowded = count(most);
+        let idlest = self.only_copies(most).min_by(|one, other| {
+            let work = &self.planner.work;
+            work.model(one).total_cmp(&work.model(other))
+        });
+        let Some(model) = idlest.cloned() else {
+            return;
+        };
+        let bound = self.load.values().copied().fold(0.0, f64::max).max(BUSY_MS);
+        let fewer = |account: &Account| count(account) + 2 <= crowded;
+        let home = self.serving().filter(|account| {
+            fewer(account)
+                && account.free(self.now)
+                && !account.counts(&model)
+                && account.free_mb(self.engine) >= self.size(&model)
+        });
+        let home = home.min_by_key(|account| count(account)).map(|home| home.entry.id.clone());
+        if let Some(name) = home {
+            let (span, rate) = (self.planner.window_span, self.engine.loads_per_s);
+            if self.planner.window.has_room(self.now, span, rate) {
+                self.planner.window.take(self.now);
+                self.give(&name, Action::Load, (&model, None), "level");
+            }
+            return;
+        }
+        let homes: Vec<Name> = self
+            .serving()
+            .filter(|account| fewer(account) && account.free(self.now))
+            .map(|account| account.entry.id.clone())
+            .collect();
+        self.make_way_on(&model, bound, &homes);
+    }
+
     /// Brings busy adapters to further copies of their model.
     fn spread_adapters(&mut self) {
         let mut brought = 0;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -112,10 +112,9 @@
     pub fn unsettled(&self, now: Time) -> impl Iterator<Item = &Upstream> {
         let config = self.config.as_ref();
         let unsettled = self.engines.values().filter(move |account| {
-            let unknown = account.orders.is_none() && account.blocked_until <= now;
             let service = config.and_then(|it| it.service(&account.entry.service));
             let engine = service.is_some_and(|service| service.engine.is_some());
-            engine && account.serves() && (account.open.is_some() || unknown)
+            engine && account.serves() && account.unsettled(now)
         });
         unsettled.map(|account| &account.entry)
     }
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -14,6 +14,8 @@
 pub(crate) struct Offer {
     pub id: UpstreamId,
     cost: f64,
+    /// Reading time of the prompts before it.
+    pub backlog_ms: f64,
     /// Reading time of the part of the prompt that is not expected in its cache.
     pub read_ms: f64,
 }
@@ -88,6 +90,7 @@
             return Offer {
                 id,
                 cost: load * self.tuning.run_ms * slots + jitter,
+                backlog_ms: 0.0,
                 read_ms: 0.0,
             };
         };
@@ -103,6 +106,11 @@
             + known.estimate(self.hosts) * self.tuning.run_ms
             + preferred
             + jitter;
-        Offer { id, cost, read_ms }
+        Offer {
+            id,
+            cost,
+            backlog_ms: backlog,
+            read_ms,
+        }
     }
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     budget::Budget,
+    choice::Offer,
     cache::Chain,
     pace::Paces,
     pass::{Ending, Pass, Step, Target},
@@ -41,6 +42,11 @@
     pub retry_extra: f64,
     /// Window in which repeats are counted.
     pub retry_window: Duration,
+    /// Reading time before a request from which it is kept back, in milliseconds; up to
+    /// twice that as its objective comes near.
+    pub row_ms: f64,
+    /// Share of the objective beyond which an expected first event is too late.
+    pub late_share: f64,
     /// Longest that a request waits for its model, as a share of its objective.
     pub place_share: f64,
 }
@@ -56,6 +62,8 @@
             retry_share: 0.2,
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
+            row_ms: 300.0,
+            late_share: 1.0,
             place_share: 0.9,
         }
     }
@@ -72,6 +80,17 @@
 /// How many times longer the silence of an upstream is borne that answers others.
 const ALIVE_FACTOR: u32 = 3;
 
+/// Reading time before a prompt, in milliseconds, below which it counts as read alone.
+const ALONE_MS: f64 = 1.0;
+/// Shortest and longest pause before a request that is kept back is looked at again, in
+/// milliseconds.
+const MIN_HOLD_MS: f64 = 5.0;
+const MAX_HOLD_MS: f64 = 60.0;
+/// Shortest and longest time after which a request that came too late for its objective
+/// is to come back, in milliseconds: half of the time that its engine has to read.
+const MIN_RETURN_MS: f64 = 300.0;
+const MAX_RETURN_MS: f64 = 2_000.0;
+
 /// Requests for a model or adapter since the last count.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wanted {
@@ -147,6 +166,10 @@
         if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
             return false;
         }
+        let engines = config.services.iter().filter_map(|service| service.engine.as_ref());
+        for model in engines.flat_map(|engine| &engine.models) {
+            self.paces.set_size(&model.name, model.weights_mb);
+        }
         self.config = Some(config);
         true
     }
@@ -287,6 +310,9 @@
         if !again && pass.sent.len() >= most {
             return give_up(pass, Reason::UpstreamRefused, Some(TURNED_AWAY));
         }
+        if let Some(step) = self.pace_entry(now, pass, &offer) {
+            return step;
+        }
         if !self.charge(now, pass) {
             return give_up(pass, Reason::RetryBudget, Some(TURNED_AWAY));
         }
@@ -318,6 +344,28 @@
         })
     }
 
+    /// Keeps a first send back while its engine has much to read, and refuses it where it
+    /// would come too late.
+    fn pace_entry(&self, now: Time, pass: &Pass, offer: &Offer) -> Option<Step> {
+        if pass.ask.generation.is_none() || pass.may_have_run {
+            return None;
+        }
+        let objective = pass.route.objective.as_secs_f64() * 1_000.0;
+        let waited = now.since(pass.arrived).as_secs_f64() * 1_000.0;
+        let first_event = waited + offer.backlog_ms + offer.read_ms;
+        if first_event > objective * self.tuning.late_share {
+            let drained = (offer.backlog_ms / 2.0).clamp(MIN_RETURN_MS, MAX_RETURN_MS);
+            let wait = Duration::from_secs_f64(drained / 1_000.0);
+            return Some(give_up(pass, Reason::Overload, Some(wait)));
+        }
+        let allowed = self.tuning.row_ms * (1.0 + waited / objective);
+        if offer.backlog_ms <= allowed {
+            return None;
+        }
+        let wait = (offer.backlog_ms - allowed).clamp(MIN_HOLD_MS, MAX_HOLD_MS);
+        Some(Step::Hold(now + Duration::from_secs_f64(wait / 1_000.0)))
+    }
+
     fn charge(&mut self, now: Time, pass: &Pass) -> bool {
         let hosts = f64::from(self.hosts);
         let budget = self.budgets.entry(pass.service.clone()).or_default();
@@ -349,14 +397,6 @@
         give_up(pass, reason, Some(COME_BACK))
     }
 
-    /// Takes the time between two events of a stream of a model.
-    pub fn paced(&mut self, model: &Name, service: &str, gap: Duration) {
-        let service = self.config.as_ref().and_then(|config| config.service(service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        let tokens = engine.map_or(1, |engine| engine.event_tokens);
-        self.paces.take(model, gap / tokens);
-    }
-
     /// Takes that something came from an upstream.
     pub fn heard(&mut self, now: Time, id: UpstreamId) {
         self.upstreams.get_mut(id).heard = now;
@@ -383,9 +423,12 @@
         known.load = Some((load, now, known.running));
     }
 
-    /// Takes the first event of an answer: the prompt is read.
-    pub fn first_event(&mut self, pass: &mut Pass) {
+    /// Takes the first event of an answer, `took` after the send: the prompt is read.
+    pub fn first_event(&mut self, pass: &mut Pass, target: &Target, took: Duration) {
         pass.may_have_run = true;
+        if let (Some(it), true) = (&pass.ask.generation, target.backlog_ms < ALONE_MS) {
+            self.paces.take(&it.model, target.read_ms, took);
+        }
     }
 
     /// Takes how a send ended. [`Gate::step`] tells what comes next, if anything does.
--- a/crates/gate/src/pace.rs
+++ b/crates/gate/src/pace.rs
@@ -1,52 +1,71 @@
-//! How fast engines run each model, learnt from the pauses between events.
+//! How fast engines read prompts of each model, learnt from the times to first events.
 
 use mulberryrack_core::Name;
 use std::{collections::BTreeMap, time::Duration};
 
-/// Time of a token before anything was seen of a model, in milliseconds; the users'
-/// slower models take about this.
-const FIRST_STEP_MS: f64 = 4.0;
-/// Share of the pauses that are shorter than the figure that is kept: other requests'
-/// prompts lengthen many pauses.
-const QUANTILE: f64 = 0.3;
-/// How far one pause moves the figure.
-const GAIN: f64 = 0.04;
-/// Pauses of parts that came together say nothing.
-const LEAST_STEP_MS: f64 = 0.2;
-/// Prompt tokens that are read in the time of one written token; from the users' sheets.
-const READ_PER_STEP: f64 = 160.0;
-/// Share of the time of a token that one more request costs a batch.
-const BATCH_SHARE: f64 = 0.1;
-
-/// Time of a token by model.
+/// Time to read a prompt's token before anything was seen of any model, in milliseconds;
+/// the users' slower models take about this.
+const FIRST_READ_MS: f64 = 0.03;
+/// Time from a send to the first event beside the reading, in milliseconds: the way there
+/// and back, and the first token.
+const OVERHEAD_MS: f64 = 10.0;
+/// Shortest expected reading that says something of the pace, in milliseconds.
+const LEAST_SAMPLE_MS: f64 = 12.0;
+/// How far one sample moves the figure, as an exponent.
+const GAIN: f64 = 0.15;
+/// Bounds on the ratio of one sample to the figure; a prompt of another host that this
+/// one was not told of lengthens a sample.
+const LEAST_RATIO: f64 = 0.4;
+const MOST_RATIO: f64 = 1.6;
+/// Prompt tokens that are read in the time that one written token costs a batch; from the
+/// users' sheets.
+const READ_PER_WRITE: f64 = 16.0;
+
+/// Time to read a token, by model and by size of the weights: larger models are slower.
 #[derive(Debug, Default)]
 pub(crate) struct Paces {
-    steps: BTreeMap<Name, f64>,
+    sizes: BTreeMap<Name, u64>,
+    by_model: BTreeMap<Name, f64>,
+    by_size: BTreeMap<u64, f64>,
 }
 
 impl Paces {
-    /// Takes the time of one token.
-    pub fn take(&mut self, model: &Name, step: Duration) {
-        let millis = step.as_secs_f64() * 1_000.0;
-        if millis < LEAST_STEP_MS {
+    /// Takes a model's size in megabytes.
+    pub fn set_size(&mut self, model: &Name, megabytes: f64) {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        self.sizes.insert(model.clone(), megabytes as u64);
+    }
+
+    /// Takes the time to the first event of a prompt that was expected to take `read_ms`
+    /// on an engine with nothing else to read.
+    pub fn take(&mut self, model: &Name, read_ms: f64, took: Duration) {
+        if read_ms < LEAST_SAMPLE_MS {
             return;
         }
-        let kept = self.steps.entry(model.clone()).or_insert(FIRST_STEP_MS);
-        let pull = if millis > *kept { QUANTILE } else { QUANTILE - 1.0 };
-        *kept *= 1.0 + GAIN * pull;
+        let measured = took.as_secs_f64() * 1_000.0 - OVERHEAD_MS;
+        let ratio = (measured / read_ms).clamp(LEAST_RATIO, MOST_RATIO);
+        let pull = ratio.powf(GAIN);
+        let figure = self.read_one(model) * pull;
+        self.by_model.insert(model.clone(), figure);
+        if let Some(size) = self.sizes.get(model) {
+            let shared = self.by_size.entry(*size).or_insert(FIRST_READ_MS);
+            *shared *= pull;
+        }
     }
 
-    fn step_ms(&self, model: &str) -> f64 {
-        self.steps.get(model).copied().unwrap_or(FIRST_STEP_MS)
+    fn read_one(&self, model: &Name) -> f64 {
+        let by_size = || self.by_size.get(self.sizes.get(model)?);
+        let figure = self.by_model.get(model).or_else(by_size);
+        figure.copied().unwrap_or(FIRST_READ_MS)
     }
 
     /// Time to read tokens of a prompt, in milliseconds.
-    pub fn read_ms(&self, model: &str, tokens: u32) -> f64 {
-        f64::from(tokens) / READ_PER_STEP * self.step_ms(model)
+    pub fn read_ms(&self, model: &Name, tokens: u32) -> f64 {
+        f64::from(tokens) * self.read_one(model)
     }
 
     /// What writing tokens costs the other requests of a batch, in milliseconds.
-    pub fn write_ms(&self, model: &str, tokens: u32) -> f64 {
-        f64::from(tokens) * BATCH_SHARE * self.step_ms(model)
+    pub fn write_ms(&self, model: &Name, tokens: u32) -> f64 {
+        f64::from(tokens) * READ_PER_WRITE * self.read_one(model)
     }
 }
--- a/crates/gate/src/pass.rs
+++ b/crates/gate/src/pass.rs
@@ -95,6 +95,8 @@
 pub enum Step {
     /// Send it.
     Send(Target),
+    /// Every upstream that can run it has much to read: ask again at this time.
+    Hold(Time),
     /// Its model or adapter is on no upstream: have it placed, and ask again when
     /// something has changed or at this time.
     Place(Time),
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -144,6 +144,9 @@
             return true;
         };
         let known = self.get_mut(id);
+        if known.listed && entry.older_than(&known.entry) {
+            return false;
+        }
         let reborn = known.entry.born != entry.born || known.entry.address != entry.address;
         if reborn {
             // Nothing from before holds for another life, but this host's own sends end
--- a/crates/site/src/upstream.rs
+++ b/crates/site/src/upstream.rs
@@ -12,6 +12,8 @@
     pub born: u64,
     /// Service that it belongs to.
     pub service: Name,
+    /// Rises with each write of the entry in one life; an older entry may come late.
+    pub writes: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Data centre that it stands in.
@@ -27,6 +29,13 @@
 }
 
 impl Upstream {
+    /// Whether this entry was written before another one of the same life.
+    #[must_use]
+    pub fn older_than(&self, other: &Self) -> bool {
+        let one_life = self.born == other.born && self.address == other.address;
+        self.born < other.born || (one_life && self.writes < other.writes)
+    }
+
     /// Whether it holds the model, with the adapter where one is asked for.
     #[must_use]
     pub fn holds(&self, model: &str, adapter: Option<&str>) -> bool {
