--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -20,7 +20,11 @@
 /// that names it, then ends with 0. A second one ends it at once with 3. SIGHUP is
 /// ignored: settings are read at start only, the operators' table needs no signal.
 #[derive(Debug, Parser)]
-#[command(version, args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
+#[command(
+    version,
+    args_conflicts_with_subcommands = true,
+    subcommand_negates_reqs = true
+)]
 pub struct Args {
     /// What to run instead of a host of the product's own deployment.
     #[command(subcommand)]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,10 +24,10 @@
 pub mod logging;
 pub mod metrics;
 pub mod peer;
-pub mod site;
 mod platform;
 mod pool;
 mod response;
+pub mod site;
 pub mod tls;
 mod upstream;
 
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -14,11 +14,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mulberryrack_core::outcome::{Reason, Refusal};
-use mulberryrack_site::{
-    Ask, Dialect,
-    ask::Fault,
-    config::Limits,
-};
+use mulberryrack_site::{Ask, Dialect, ask::Fault, config::Limits};
 use std::{
     convert::Infallible,
     fmt,
@@ -209,7 +205,9 @@
         field = field,
         status = status.as_u16(),
     );
-    shared.metrics.ended("refused", Reason::BadRequest.label(), Duration::ZERO);
+    shared
+        .metrics
+        .ended("refused", Reason::BadRequest.label(), Duration::ZERO);
     own_answer(shared, attempt, status, None)
 }
 
@@ -252,12 +250,23 @@
 }
 
 fn refuse<D: Dialect>(shared: &Shared<D>, attempt: &str, refusal: Refusal) -> Response<Answer> {
-    let Refusal { reason, retry_after } = refusal;
+    let Refusal {
+        reason,
+        retry_after,
+    } = refusal;
     let status = match reason {
         Reason::UnknownTarget => StatusCode::NOT_FOUND,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
-    shared.metrics.ended("refused", reason.label(), Duration::ZERO);
-    journal!(info, "refused", id = attempt, reason = reason.label(), status = status.as_u16());
+    shared
+        .metrics
+        .ended("refused", reason.label(), Duration::ZERO);
+    journal!(
+        info,
+        "refused",
+        id = attempt,
+        reason = reason.label(),
+        status = status.as_u16()
+    );
     own_answer(shared, Some(attempt), status, retry_after)
 }
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -207,6 +207,8 @@
             connection.keep(None);
             Ok(Response::from_parts(head, body))
         };
-        time::timeout(timeout, whole).await.unwrap_or(Err(Fault::Silent))
+        time::timeout(timeout, whole)
+            .await
+            .unwrap_or(Err(Fault::Silent))
     }
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -12,7 +12,8 @@
 /// Addresses for callers, and how long they hold.
 pub fn addresses<D>(shared: &Shared<D>) -> (Vec<SocketAddr>, Duration) {
     let hosts = shared.hosts.borrow();
-    let seats: BTreeMap<&Name, &Seat> = hosts.iter().map(|(name, (seat, _))| (name, seat)).collect();
+    let seats: BTreeMap<&Name, &Seat> =
+        hosts.iter().map(|(name, (seat, _))| (name, seat)).collect();
     let me = &shared.settings.host;
     let others = seats.iter().filter(|(name, _)| **name != me);
     let mut addresses: Vec<SocketAddr> = others.map(|(_, seat)| seat.callers).collect();
--- a/crates/edge/src/doors.rs
+++ b/crates/edge/src/doors.rs
@@ -60,7 +60,11 @@
 fn answer<D: Dialect>(shared: &Shared<D>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (head, _) = request.into_parts();
     if shared.dialect.asks_ready(&head) {
-        let status = if shared.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let status = if shared.ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
         return status_only(status);
     }
     if shared.dialect.asks_addresses(&head) {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -147,7 +147,8 @@
 
     fn ask_for_placement(&self, pass: &Pass, link: &Rc<Link>) {
         let generation = pass.ask.generation.as_ref();
-        let Some((model, adapter)) = generation.and_then(|it| Some((&it.model, it.adapter.as_ref()?)))
+        let Some((model, adapter)) =
+            generation.and_then(|it| Some((&it.model, it.adapter.as_ref()?)))
         else {
             // Models are placed by the planner on its own account.
             return;
@@ -173,9 +174,14 @@
     /// Tells the gate and the log how a send ended.
     fn note_send(&self, pass: &mut Pass, target: &Target, ending: Ending) {
         let now = self.shared.clock.now();
-        self.shared.gate.borrow_mut().ended(now, pass, target.id, ending);
+        self.shared
+            .gate
+            .borrow_mut()
+            .ended(now, pass, target.id, ending);
         if ending != Ending::Done && ending != Ending::Abandoned {
-            self.shared.metrics.retried(target.retry.map_or("none", Retry::label));
+            self.shared
+                .metrics
+                .retried(target.retry.map_or("none", Retry::label));
         }
         let (running, waiting, age) = target.load.map_or((0, 0, 0), |(load, age)| {
             (load.running, load.waiting, age.as_millis())
@@ -204,12 +210,22 @@
 
     fn abandoned(&self, pass: &Pass) {
         let reason = Reason::CallerGone.label();
-        self.shared.metrics.ended("abandoned", reason, self.took(pass));
-        journal!(info, "abandoned", id = pass.ask.attempt, took_ms = self.took(pass).as_millis());
+        self.shared
+            .metrics
+            .ended("abandoned", reason, self.took(pass));
+        journal!(
+            info,
+            "abandoned",
+            id = pass.ask.attempt,
+            took_ms = self.took(pass).as_millis()
+        );
     }
 
     async fn refuse(&mut self, pass: &Pass, refusal: Refusal) {
-        let Refusal { reason, retry_after } = refusal;
+        let Refusal {
+            reason,
+            retry_after,
+        } = refusal;
         self.note_end(pass, "refused", reason.label());
         let whole = self.own(pass, StatusCode::SERVICE_UNAVAILABLE, retry_after);
         self.tell(Part::Whole(whole)).await;
@@ -223,7 +239,11 @@
             // Without its end the answer is broken off.
             return;
         }
-        let status = if timely { StatusCode::BAD_GATEWAY } else { StatusCode::GATEWAY_TIMEOUT };
+        let status = if timely {
+            StatusCode::BAD_GATEWAY
+        } else {
+            StatusCode::GATEWAY_TIMEOUT
+        };
         let own = self.own(pass, status, None);
         let answer = self.progress.failure.take().unwrap_or(own);
         self.tell(Part::Whole(answer)).await;
@@ -246,7 +266,12 @@
         );
     }
 
-    fn own(&self, pass: &Pass, status: StatusCode, retry_after: Option<Duration>) -> Response<Bytes> {
+    fn own(
+        &self,
+        pass: &Pass,
+        status: StatusCode,
+        retry_after: Option<Duration>,
+    ) -> Response<Bytes> {
         let mut response = Response::new(Bytes::new());
         *response.status_mut() = status;
         let attempt = Some(&*pass.ask.attempt);
@@ -269,7 +294,9 @@
         let path = self.head.uri.path_and_query().cloned();
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = path.unwrap_or_else(|| PathAndQuery::from_static("/")).into();
+        *request.uri_mut() = path
+            .unwrap_or_else(|| PathAndQuery::from_static("/"))
+            .into();
         *request.headers_mut() = self.shared.dialect.forward(&self.head.headers, &send);
         request
     }
@@ -278,7 +305,7 @@
     fn patience(&self, pass: &Pass, target: &Target, since: Time) -> Time {
         let objective = pass.route.objective;
         let bound = match (self.progress.begun, pass.route.gap) {
-            (true, Some(gap)) => gap * 2,
+            (true, Some(gap)) => gap * 3,
             _ if pass.route.streaming => objective.mul_f64(1.5),
             _ => objective,
         };
@@ -329,7 +356,11 @@
             let now = self.shared.clock.now();
             self.shared.gate.borrow_mut().load(now, target.id, load);
         }
-        if reply.attempt.as_ref().is_some_and(|id| *id != pass.ask.attempt) {
+        if reply
+            .attempt
+            .as_ref()
+            .is_some_and(|id| *id != pass.ask.attempt)
+        {
             return Self::lost(Fault::Broken);
         }
         if reply.not_run {
@@ -339,9 +370,12 @@
             return Self::lost(Fault::Broken);
         }
         if pass.route.streaming && head.status.is_success() {
-            return self.stream(pass, target, now, connection, head, body, &reply).await;
+            return self
+                .stream(pass, target, now, connection, head, body, &reply)
+                .await;
         }
-        self.whole(pass, target, now, connection, head, body, &reply).await
+        self.whole(pass, target, now, connection, head, body, &reply)
+            .await
     }
 
     async fn not_run(
@@ -356,7 +390,11 @@
             connection.keep(reply.keep_alive);
         }
         let misplaced = status == StatusCode::MISDIRECTED_REQUEST;
-        let ending = if misplaced { Ending::Misplaced } else { Ending::NotRun };
+        let ending = if misplaced {
+            Ending::Misplaced
+        } else {
+            Ending::NotRun
+        };
         Sent::Again(ending, Retry::Turned)
     }
 
@@ -423,7 +461,10 @@
         let took = self.took(pass);
         self.progress.first.get_or_insert(took);
         self.progress.paused.get_or_insert((now, Duration::ZERO));
-        self.shared.gate.borrow_mut().first_event(pass, target, now.since(sent));
+        self.shared
+            .gate
+            .borrow_mut()
+            .first_event(pass, target, now.since(sent));
         if !self.progress.begun {
             self.shared.metrics.first_event(self.took(pass));
         }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -11,8 +11,9 @@
     notices, orders,
     peers::{self, Link},
     shared::{Phase, Shared},
-    socket, watch,
+    socket,
     store::Store,
+    watch,
 };
 use mulberryrack_core::{Time, hash};
 use mulberryrack_fleet::{Claim, Planner};
@@ -53,11 +54,7 @@
     LocalSet::new().block_on(&runtime, serve(settings, Rc::new(dialect)))
 }
 
-fn share<D: Dialect>(
-    settings: Settings,
-    dialect: Rc<D>,
-    datagrams: UdpSocket,
-) -> Rc<Shared<D>> {
+fn share<D: Dialect>(settings: Settings, dialect: Rc<D>, datagrams: UdpSocket) -> Rc<Shared<D>> {
     let bounds = settings.bounds;
     let metrics = Rc::new(Metrics::new());
     let tuning = Tuning {
@@ -76,7 +73,10 @@
         datagrams,
         gate: RefCell::new(Gate::new(tuning, seed)),
         planner: RefCell::new(Planner::new(bounds.load_window)),
-        claim: RefCell::new(Claim::new(membership::LEASE.max(settings.lease_min), bounds.order_lease)),
+        claim: RefCell::new(Claim::new(
+            membership::LEASE.max(settings.lease_min),
+            bounds.order_lease,
+        )),
         hosts: RefCell::default(),
         holder: RefCell::default(),
         phase: Cell::new(Phase::Starting),
@@ -102,7 +102,10 @@
     for address in [settings.readiness, settings.directory, settings.metrics] {
         task::spawn_local(doors::serve(shared.clone(), socket::listen(address)?));
     }
-    task::spawn_local(peers::serve(shared.clone(), socket::listen(settings.peers)?));
+    task::spawn_local(peers::serve(
+        shared.clone(),
+        socket::listen(settings.peers)?,
+    ));
     task::spawn_local(caller::serve(shared.clone(), link.clone(), callers));
     task::spawn_local(notices::hear(shared.clone()));
     task::spawn_local(watch::run(shared.clone()));
@@ -130,7 +133,12 @@
     if let Err(error) = membership.await {
         journal!(warn, "membership-ended", error = error);
     }
-    journal!(info, "ended", host = shared.settings.host, open = shared.open.get());
+    journal!(
+        info,
+        "ended",
+        host = shared.settings.host,
+        open = shared.open.get()
+    );
     Ok(())
 }
 
@@ -145,7 +153,12 @@
 async fn leave<D>(shared: &Shared<D>) {
     let start = shared.clock.now();
     let end = start + shared.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
-    journal!(info, "leaving", open = shared.open.get(), connections = shared.connections.get());
+    journal!(
+        info,
+        "leaving",
+        open = shared.open.get(),
+        connections = shared.connections.get()
+    );
     shared.enter(Phase::Leaving);
     time::sleep(LINGER).await;
     shared.enter(Phase::Closing);
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -72,7 +72,12 @@
                 grant(shared, tenancy).await;
             }
             Err(fault) => {
-                journal!(warn, "lease-not-renewed", lease = lease.0, fault = format_args!("{fault:?}"));
+                journal!(
+                    warn,
+                    "lease-not-renewed",
+                    lease = lease.0,
+                    fault = format_args!("{fault:?}")
+                );
             }
         },
     }
@@ -82,12 +87,18 @@
     let ttl = LEASE.max(shared.settings.lease_min);
     match shared.store.call(&Op::Grant { ttl }).await {
         Ok(Reply::Granted(lease)) => tenancy.lease = Some(lease),
-        other => journal!(warn, "lease-not-granted", outcome = format_args!("{other:?}")),
+        other => journal!(
+            warn,
+            "lease-not-granted",
+            outcome = format_args!("{other:?}")
+        ),
     }
 }
 
 fn encode(seat: &Seat) -> Bytes {
-    serde_json::to_vec(seat).expect("a seat is plain data").into()
+    serde_json::to_vec(seat)
+        .expect("a seat is plain data")
+        .into()
 }
 
 async fn take_seat<D: Dialect>(shared: &Shared<D>, tenancy: &mut Tenancy) {
@@ -125,7 +136,9 @@
 async fn claim_if_free<D: Dialect>(shared: &Shared<D>, tenancy: &Tenancy) {
     let holder = shared.holder.borrow().clone();
     let now = shared.clock.now();
-    let mine = holder.as_ref().is_some_and(|(seat, _)| seat.host == shared.settings.host);
+    let mine = holder
+        .as_ref()
+        .is_some_and(|(seat, _)| seat.host == shared.settings.host);
     if let Some((_, revision)) = holder {
         let fence = shared.claim.borrow().fence();
         // A claim of this host's last life ends with its lease.
@@ -163,6 +176,10 @@
             journal!(info, "claim-gained", fence = revision.0);
         }
         Ok(Reply::Conflict(_)) => {}
-        other => journal!(warn, "claim-not-written", outcome = format_args!("{other:?}")),
+        other => journal!(
+            warn,
+            "claim-not-written",
+            outcome = format_args!("{other:?}")
+        ),
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -67,20 +67,53 @@
             registry: Registry::default(),
         };
         registry.register("requests", "Requests by their end", metrics.ends.clone());
-        registry.register("retries", "Requests sent once more", metrics.retries.clone());
-        registry.register("store_calls", "Calls to the key-value service", metrics.calls.clone());
-        registry.register("orders", "Orders to engines by verdict", metrics.orders.clone());
-        registry.register("first_event_seconds", "Arrival to first event", metrics.first.clone());
+        registry.register(
+            "retries",
+            "Requests sent once more",
+            metrics.retries.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the key-value service",
+            metrics.calls.clone(),
+        );
+        registry.register(
+            "orders",
+            "Orders to engines by verdict",
+            metrics.orders.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Arrival to first event",
+            metrics.first.clone(),
+        );
         registry.register("request_seconds", "Arrival to end", metrics.whole.clone());
-        registry.register("open_requests", "Requests without an end", metrics.open.clone());
-        registry.register("config_version", "Configuration in force", metrics.config_version.clone());
-        registry.register("upstreams", "Upstreams that take work", metrics.upstreams.clone());
-        Self { registry, ..metrics }
+        registry.register(
+            "open_requests",
+            "Requests without an end",
+            metrics.open.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            metrics.config_version.clone(),
+        );
+        registry.register(
+            "upstreams",
+            "Upstreams that take work",
+            metrics.upstreams.clone(),
+        );
+        Self {
+            registry,
+            ..metrics
+        }
     }
 
     /// Takes the end of a request.
     pub fn ended(&self, outcome: &'static str, reason: &'static str, took: Duration) {
-        self.ends.get_or_create(&EndLabels { outcome, reason }).inc();
+        self.ends
+            .get_or_create(&EndLabels { outcome, reason })
+            .inc();
         self.whole.observe(took.as_secs_f64());
     }
 
@@ -97,12 +130,22 @@
     /// Takes a call to the key-value service.
     pub fn store_call(&self, operation: &'static str, answered: bool) {
         let answered = if answered { "yes" } else { "no" };
-        self.calls.get_or_create(&CallLabels { operation, answered }).inc();
+        self.calls
+            .get_or_create(&CallLabels {
+                operation,
+                answered,
+            })
+            .inc();
     }
 
     /// Takes an order and its verdict.
     pub fn ordered(&self, operation: &'static str, answered: &'static str) {
-        self.orders.get_or_create(&CallLabels { operation, answered }).inc();
+        self.orders
+            .get_or_create(&CallLabels {
+                operation,
+                answered,
+            })
+            .inc();
     }
 
     /// All of it, in the text format.
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -75,7 +75,12 @@
     let report = match answer {
         Ok(answer) => shared.dialect.report_answer(&answer),
         Err(fault) => {
-            journal!(debug, "report-missing", engine = name, fault = format_args!("{fault:?}"));
+            journal!(
+                debug,
+                "report-missing",
+                engine = name,
+                fault = format_args!("{fault:?}")
+            );
             None
         }
     };
@@ -101,7 +106,10 @@
     }
     let verdict = send(&shared, &wish).await;
     let now = shared.clock.now();
-    shared.planner.borrow_mut().answered(now, &wish.engine, verdict);
+    shared
+        .planner
+        .borrow_mut()
+        .answered(now, &wish.engine, verdict);
     let done = matches!(verdict, Verdict::Accepted | Verdict::Held);
     let adapter_there = wish.adapter.is_some() && wish.action == Action::Load && done;
     let still_there = wish.action == Action::Unload && !done && verdict != Verdict::Unanswered;
@@ -220,7 +228,9 @@
     let holds = shared.claim.borrow().stand(now) != Stand::None;
     if holds {
         let mut planner = shared.planner.borrow_mut();
-        demands.iter().for_each(|demand| planner.demand(now, demand));
+        demands
+            .iter()
+            .for_each(|demand| planner.demand(now, demand));
     }
     holds
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,10 +1,6 @@
 //! Calls between hosts: demand, and adapters that requests wait for.
 
-use crate::{
-    journal::journal,
-    orders,
-    shared::Shared,
-};
+use crate::{journal::journal, orders, shared::Shared};
 use mulberryrack_core::Name;
 use mulberryrack_fleet::Demand;
 use mulberryrack_gate::Change;
@@ -50,7 +46,9 @@
     async fn ask<T>(&self, call: Call, answer: oneshot::Receiver<T>) -> Result<T, Status> {
         let sent = self.calls.send(call).await;
         sent.map_err(|_| Status::unavailable("the host ends"))?;
-        answer.await.map_err(|_| Status::unavailable("the host ends"))
+        answer
+            .await
+            .map_err(|_| Status::unavailable("the host ends"))
     }
 }
 
@@ -67,7 +65,9 @@
             work_ms: wanted.work_ms,
         });
         let (answer, heard) = oneshot::channel();
-        let planner = self.ask(Call::Report(demands.collect(), answer), heard).await?;
+        let planner = self
+            .ask(Call::Report(demands.collect(), answer), heard)
+            .await?;
         Ok(Response::new(plan::Heard { planner }))
     }
 
@@ -161,7 +161,12 @@
             wanted: wanted.into_iter().map(message).collect(),
         };
         if let Err(error) = PlannerClient::new(channel).report(message).await {
-            journal!(warn, "demand-not-told", planner = seat.host, error = error.code());
+            journal!(
+                warn,
+                "demand-not-told",
+                planner = seat.host,
+                error = error.code()
+            );
             link.forget();
         }
     }
@@ -185,19 +190,20 @@
 
 /// Has an adapter placed, unless that is under way. Waiting requests are told when the
 /// answer is there.
-pub async fn place<D: Dialect>(
-    shared: Rc<Shared<D>>,
-    link: Rc<Link>,
-    model: Name,
-    adapter: Name,
-) {
+pub async fn place<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<Link>, model: Name, adapter: Name) {
     let key = (model.clone(), adapter.clone());
     if !link.asking.borrow_mut().insert(key.clone()) {
         return;
     }
     let engines = ask(&shared, &link, &model, &adapter).await;
     link.asking.borrow_mut().remove(&key);
-    journal!(info, "adapter-placed", model = model, adapter = adapter, engines = engines.len());
+    journal!(
+        info,
+        "adapter-placed",
+        model = model,
+        adapter = adapter,
+        engines = engines.len()
+    );
     let now = shared.clock.now();
     for engine in engines {
         let change = Change {
@@ -231,9 +237,19 @@
         adapter: adapter.to_string(),
     };
     match PlannerClient::new(channel).place(message).await {
-        Ok(placed) => placed.into_inner().engines.iter().map(|it| it.as_str().into()).collect(),
+        Ok(placed) => placed
+            .into_inner()
+            .engines
+            .iter()
+            .map(|it| it.as_str().into())
+            .collect(),
         Err(error) => {
-            journal!(warn, "adapter-not-asked", planner = seat.host, error = error.code());
+            journal!(
+                warn,
+                "adapter-not-asked",
+                planner = seat.host,
+                error = error.code()
+            );
             link.forget();
             Vec::new()
         }
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -16,7 +16,11 @@
 
 /// Listens for connections; an address of a life that has just ended can be taken again.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -44,7 +44,10 @@
             _ => Duration::ZERO,
         };
         let request = self.dialect.store_call(op);
-        let answer = self.client.call(self.peer.clone(), request, CALL_TIMEOUT + wait).await;
+        let answer = self
+            .client
+            .call(self.peer.clone(), request, CALL_TIMEOUT + wait)
+            .await;
         let outcome = match answer {
             Ok(answer) => self.dialect.store_answer(op, &answer),
             Err(Fault::NotSent) => Err(kv::Fault::NotApplied),
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -15,9 +15,9 @@
 
 /// How long the service holds a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Pause after an answer with changes, in which further ones gather; a fifth of the
+/// Pause after an answer with changes, in which further ones gather; a quarter of the
 /// users' bound for a change to be in force leaves time for a lost answer.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(500);
 /// First pause after a call without an answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two tries, so that a service that is back is noticed at once.
@@ -69,7 +69,12 @@
             limit: PAGE,
         };
         let reply = shared.store.call(&op).await?;
-        let Reply::Entries { entries, more, revision } = reply else {
+        let Reply::Entries {
+            entries,
+            more,
+            revision,
+        } = reply
+        else {
             return Err(Fault::Unknown);
         };
         // Pages are no snapshot: the watch goes on from before the first one.
@@ -114,7 +119,12 @@
         wait: WATCH_WAIT,
     };
     let reply = shared.store.call(&op).await?;
-    let Reply::Changes { entries, deleted, revision } = reply else {
+    let Reply::Changes {
+        entries,
+        deleted,
+        revision,
+    } = reply
+    else {
         return Err(Fault::Unknown);
     };
     for entry in &entries {
@@ -156,7 +166,12 @@
     let config = match shared.dialect.config(&entry.value) {
         Ok(config) => Arc::new(config),
         Err(error) => {
-            journal!(error, "config-unreadable", revision = entry.revision.0, error = error);
+            journal!(
+                error,
+                "config-unreadable",
+                revision = entry.revision.0,
+                error = error
+            );
             return;
         }
     };
@@ -189,12 +204,22 @@
         }
     };
     if upstream.state == State::Leaving {
-        journal!(info, "upstream-leaves", id = id, revision = entry.revision.0);
+        journal!(
+            info,
+            "upstream-leaves",
+            id = id,
+            revision = entry.revision.0
+        );
     }
     let now = shared.clock.now();
     shared.planner.borrow_mut().list(now, upstream.clone());
     if shared.gate.borrow_mut().list(upstream) {
-        journal!(info, "upstream-listed", id = id, revision = entry.revision.0);
+        journal!(
+            info,
+            "upstream-listed",
+            id = id,
+            revision = entry.revision.0
+        );
     }
 }
 
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -234,7 +234,13 @@
                 self.settled = now;
                 self.assume(now);
             }
-            Verdict::Held => self.assume(now),
+            Verdict::Held => {
+                // An adapter that no request uses is dropped at once, which counts.
+                if open.adapter.is_some() && open.action == Action::Unload {
+                    self.orders = Some(open.after + 1);
+                }
+                self.assume(now);
+            }
             Verdict::Conflict => {
                 self.open = None;
                 self.orders = None;
@@ -273,7 +279,11 @@
     pub fn free_mb(&self, engine: &Engine) -> f64 {
         let largest = engine.models.iter().map(|model| model.adapter_mb);
         let adapters = f64::from(engine.adapter_places) * largest.fold(0.0, f64::max);
-        let size = |name: &Name| engine.model(name).map_or(engine.weights_mb, |it| it.weights_mb);
+        let size = |name: &Name| {
+            engine
+                .model(name)
+                .map_or(engine.weights_mb, |it| it.weights_mb)
+        };
         let held: f64 = self.room.iter().map(size).sum();
         engine.weights_mb - adapters - held
     }
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -80,7 +80,10 @@
     fn survey(&mut self) {
         let models = self.engine.models.iter().map(|model| &model.name);
         let count = |model: &Name| {
-            let copies = self.serving().filter(|account| account.counts(model)).count();
+            let copies = self
+                .serving()
+                .filter(|account| account.counts(model))
+                .count();
             u32::try_from(copies).unwrap_or(u32::MAX)
         };
         self.copies = models.map(|model| (model.clone(), count(model))).collect();
@@ -104,7 +107,9 @@
             });
             models.sum()
         };
-        let loads = self.serving().map(|account| (account.entry.id.clone(), load(account)));
+        let loads = self
+            .serving()
+            .map(|account| (account.entry.id.clone(), load(account)));
         self.load = loads.collect();
     }
 
@@ -117,12 +122,15 @@
     }
 
     fn size(&self, model: &Name) -> f64 {
-        self.engine.model(model).map_or(f64::INFINITY, |model| model.weights_mb)
+        self.engine
+            .model(model)
+            .map_or(f64::INFINITY, |model| model.weights_mb)
     }
 
     fn open(&self, action: Action) -> usize {
         let open = self.serving().filter_map(|account| account.open.as_ref());
-        open.filter(|open| open.adapter.is_none() && open.action == action).count()
+        open.filter(|open| open.adapter.is_none() && open.action == action)
+            .count()
     }
 
     /// Loads every model that is on no engine, the busiest first.
@@ -150,7 +158,9 @@
         busy.sort_by(|one, other| other.1.total_cmp(&one.1));
         for (model, _) in busy {
             let holders = self.serving().filter(|account| account.holds(&model, None));
-            let busiest = holders.map(|account| self.load_of(account)).fold(0.0, f64::max);
+            let busiest = holders
+                .map(|account| self.load_of(account))
+                .fold(0.0, f64::max);
             let bound = busiest * BETTER_SHARE;
             if !self.load_copy(&model, bound, "busy") {
                 self.make_way(&model, bound);
@@ -175,7 +185,8 @@
         };
         let best = self.serving().filter(fits).min_by(|one, other| {
             let loads = self.load_of(one).total_cmp(&self.load_of(other));
-            at_hand(other).cmp(&at_hand(one)).then(loads)
+            let held = one.models.len().cmp(&other.models.len());
+            at_hand(other).cmp(&at_hand(one)).then(loads).then(held)
         });
         let Some((name, near)) = best.map(|best| (best.entry.id.clone(), at_hand(best))) else {
             return false;
@@ -215,7 +226,11 @@
             }
             for held in account.models.keys() {
                 let copies = self.copies_of(held);
-                let frees = if self.size(held).is_finite() { self.size(held) } else { 0.0 };
+                let frees = if self.size(held).is_finite() {
+                    self.size(held)
+                } else {
+                    0.0
+                };
                 let fresh = self.now.since(account.arrived(held)) < COPY_STAYS;
                 if copies < 2 || fresh || account.free_mb(self.engine) + frees < size {
                     continue;
@@ -245,7 +260,7 @@
     /// Copies an idle model from the engine with most only copies to one with fewer, so
     /// that every engine has room that can be cleared for a busy model.
     fn level(&mut self) {
-        if self.open(Action::Load) > 0 || self.open(Action::Unload) > 0 {
+        if self.open(Action::Load) > 1 || self.open(Action::Unload) > 0 {
             return;
         }
         let count = |account: &Account| self.only_copies(account).count();
@@ -268,7 +283,9 @@
                 && !account.counts(&model)
                 && account.free_mb(self.engine) >= self.size(&model)
         });
-        let home = home.min_by_key(|account| count(account)).map(|home| home.entry.id.clone());
+        let home = home
+            .min_by_key(|account| count(account))
+            .map(|home| home.entry.id.clone());
         if let Some(name) = home {
             let (span, rate) = (self.planner.window_span, self.engine.loads_per_s);
             if self.planner.window.has_room(self.now, span, rate) {
@@ -304,11 +321,17 @@
                     && account.adapters() < self.places()
                     && self.load_of(account) <= least * BETTER_SHARE
             };
-            let best = self.serving().filter(free).min_by(|one, other| {
-                self.load_of(one).total_cmp(&self.load_of(other))
-            });
+            let best = self
+                .serving()
+                .filter(free)
+                .min_by(|one, other| self.load_of(one).total_cmp(&self.load_of(other)));
             if let Some(name) = best.map(|best| best.entry.id.clone()) {
-                self.give(&name, Action::Load, (&model, Some(&adapter)), "busy-adapter");
+                self.give(
+                    &name,
+                    Action::Load,
+                    (&model, Some(&adapter)),
+                    "busy-adapter",
+                );
                 brought += 1;
             }
         }
@@ -320,7 +343,11 @@
         let mut held: BTreeSet<(Name, Name)> = BTreeSet::new();
         for account in self.serving() {
             for (model, adapters) in &account.models {
-                held.extend(adapters.iter().map(|adapter| (model.clone(), adapter.clone())));
+                held.extend(
+                    adapters
+                        .iter()
+                        .map(|adapter| (model.clone(), adapter.clone())),
+                );
             }
         }
         let mut brought = 0;
@@ -344,7 +371,10 @@
                 && account.holds(model, None)
                 && account.adapters() < self.places()
         };
-        let best = self.serving().filter(free).min_by_key(|account| account.adapters());
+        let best = self
+            .serving()
+            .filter(free)
+            .min_by_key(|account| account.adapters());
         let Some(name) = best.map(|best| best.entry.id.clone()) else {
             return false;
         };
@@ -373,11 +403,18 @@
             return;
         }
         let held = best.models.iter().flat_map(|(of, adapters)| {
-            adapters.iter().map(move |adapter| (of.clone(), Some(adapter.clone())))
+            adapters
+                .iter()
+                .map(move |adapter| (of.clone(), Some(adapter.clone())))
         });
         let victim = held.min_by_key(|key| self.planner.work.asked(key));
         if let Some((of, victim)) = victim {
-            self.give(&name, Action::Unload, (&of, victim.as_ref()), "adapter-places");
+            self.give(
+                &name,
+                Action::Unload,
+                (&of, victim.as_ref()),
+                "adapter-places",
+            );
         }
     }
 
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -99,7 +99,10 @@
 
     /// The host has just become the one that gives orders.
     pub fn take_over(&mut self, now: Time) {
-        let rates = self.services().into_iter().map(|(_, engine)| engine.loads_per_s);
+        let rates = self
+            .services()
+            .into_iter()
+            .map(|(_, engine)| engine.loads_per_s);
         let rate = rates.fold(0.0, f64::max);
         self.window.inherit(now, self.window_span, rate);
         for account in self.engines.values_mut() {
@@ -176,7 +179,10 @@
         (model, adapter): (&Name, Option<&Name>),
         why: &'static str,
     ) -> Wish {
-        let account = self.engines.get_mut(engine).expect("the engine was just chosen");
+        let account = self
+            .engines
+            .get_mut(engine)
+            .expect("the engine was just chosen");
         let after = account.orders.unwrap_or(0);
         account.send(now, action, model.clone(), adapter.cloned());
         Wish {
@@ -192,7 +198,9 @@
     /// Where an engine listens.
     #[must_use]
     pub fn address(&self, engine: &str) -> Option<SocketAddr> {
-        self.engines.get(engine).map(|account| account.entry.address)
+        self.engines
+            .get(engine)
+            .map(|account| account.entry.address)
     }
 
     /// Takes an engine's answer to its open order.
--- a/crates/fleet/src/window.rs
+++ b/crates/fleet/src/window.rs
@@ -12,7 +12,11 @@
 impl Window {
     /// Whether one more load may begin.
     pub fn has_room(&mut self, now: Time, span: Duration, rate: f64) -> bool {
-        while self.began.front().is_some_and(|time| now.since(*time) > span) {
+        while self
+            .began
+            .front()
+            .is_some_and(|time| now.since(*time) > span)
+        {
             self.began.pop_front();
         }
         #[allow(clippy::cast_precision_loss)]
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -59,7 +59,9 @@
     /// Work of a model with all its adapters.
     pub fn model(&self, model: &Name) -> f64 {
         let all = self.smoothed.iter();
-        all.filter(|((of, _), _)| of == model).map(|(_, work)| work).sum()
+        all.filter(|((of, _), _)| of == model)
+            .map(|(_, work)| work)
+            .sum()
     }
 
     /// Work of one key.
@@ -69,9 +71,10 @@
 
     /// Adapters with work, the busiest first.
     pub fn adapters(&self) -> Vec<(Name, Name, f64)> {
-        let busy = self.smoothed.iter().filter_map(|((model, adapter), work)| {
-            Some((model.clone(), adapter.clone()?, *work))
-        });
+        let busy = self
+            .smoothed
+            .iter()
+            .filter_map(|((model, adapter), work)| Some((model.clone(), adapter.clone()?, *work)));
         let mut busy: Vec<_> = busy.collect();
         busy.sort_by(|one, other| other.2.total_cmp(&one.2));
         busy
--- a/crates/gate/src/cache.rs
+++ b/crates/gate/src/cache.rs
@@ -21,7 +21,10 @@
     #[must_use]
     pub fn of(generation: &Generation) -> Self {
         let adapter = generation.adapter.as_deref().unwrap_or_default();
-        let mut covered = hash::stable(adapter.as_bytes(), hash::stable(generation.model.as_bytes(), 0));
+        let mut covered = hash::stable(
+            adapter.as_bytes(),
+            hash::stable(generation.model.as_bytes(), 0),
+        );
         let mut tokens = 0u32;
         let link = |part: &mulberryrack_site::ask::Part| {
             covered = hash::stable(&part.id.to_le_bytes(), covered);
@@ -47,7 +50,12 @@
             let used = self.used.get(&link.0);
             used.is_some_and(|used| now.since(*used) < KEPT)
         };
-        chain.links.iter().rev().find(fresh).map_or(0, |link| link.1)
+        chain
+            .links
+            .iter()
+            .rev()
+            .find(fresh)
+            .map_or(0, |link| link.1)
     }
 
     /// Takes that it was sent a prompt.
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -31,8 +31,7 @@
         let fits = move |known: &Known| {
             known.serves()
                 && known.entry.service == pass.service
-                && generation
-                    .is_none_or(|it| known.holds(now, &it.model, it.adapter.as_deref()))
+                && generation.is_none_or(|it| known.holds(now, &it.model, it.adapter.as_deref()))
         };
         let all = self.upstreams.iter();
         all.filter(move |(id, known)| !pass.avoid.contains(id) && fits(known))
@@ -42,7 +41,8 @@
     /// Whether another upstream than `id` can run a request now.
     pub(crate) fn has_other(&self, now: Time, pass: &Pass, id: UpstreamId) -> bool {
         let awake = |other: UpstreamId| self.upstreams.get(other).rests_until <= now;
-        self.candidates(now, pass).any(|other| other != id && awake(other))
+        self.candidates(now, pass)
+            .any(|other| other != id && awake(other))
     }
 
     /// The cheapest of the candidates; those that rest only if no other is left.
@@ -52,7 +52,11 @@
         let count = candidates.len();
         let awake = |id: &UpstreamId| self.upstreams.get(*id).rests_until <= now;
         let rested: Vec<UpstreamId> = candidates.iter().copied().filter(awake).collect();
-        let pool = if rested.is_empty() { candidates } else { rested };
+        let pool = if rested.is_empty() {
+            candidates
+        } else {
+            rested
+        };
         let home = generation.and_then(|it| self.home(it, &pool));
         let offers: Vec<Offer> = pool
             .iter()
@@ -94,7 +98,9 @@
                 read_ms: 0.0,
             };
         };
-        let unread = generation.prompt_tokens.saturating_sub(known.cache.kept(now, &pass.chain));
+        let unread = generation
+            .prompt_tokens
+            .saturating_sub(known.cache.kept(now, &pass.chain));
         let read_ms = self.paces.read_ms(&generation.model, unread);
         let backlog = known.reads_until.since(now).as_secs_f64() * 1_000.0;
         let busy = backlog + read_ms;
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     budget::Budget,
-    choice::Offer,
     cache::Chain,
+    choice::Offer,
     pace::Paces,
     pass::{Ending, Pass, Step, Target},
     upstreams::{UpstreamId, Upstreams},
@@ -12,11 +12,7 @@
     Name, Time,
     outcome::{Reason, Refusal, Retry},
 };
-use mulberryrack_site::{
-    Ask, Config, Upstream,
-    config::Route,
-    upstream::Load,
-};
+use mulberryrack_site::{Ask, Config, Upstream, config::Route, upstream::Load};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -91,6 +87,9 @@
 const MIN_RETURN_MS: f64 = 300.0;
 const MAX_RETURN_MS: f64 = 2_000.0;
 
+/// Pause before a stream that was broken off is looked at again.
+const RESUME_PAUSE: Duration = Duration::from_millis(150);
+
 /// Requests for a model or adapter since the last count.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wanted {
@@ -163,10 +162,17 @@
 
     /// Takes a configuration over if it is newer. Returns whether it was.
     pub fn configure(&mut self, config: Arc<Config>) -> bool {
-        if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|old| old.version >= config.version)
+        {
             return false;
         }
-        let engines = config.services.iter().filter_map(|service| service.engine.as_ref());
+        let engines = config
+            .services
+            .iter()
+            .filter_map(|service| service.engine.as_ref());
         for model in engines.flat_map(|engine| &engine.models) {
             self.paces.set_size(&model.name, model.weights_mb);
         }
@@ -244,7 +250,10 @@
     ///
     /// Why it is refused: no configuration yet, or no route that matches.
     pub fn admit(&mut self, now: Time, ask: Ask) -> Result<Pass, Refusal> {
-        let refuse = |reason, retry_after| Refusal { reason, retry_after };
+        let refuse = |reason, retry_after| Refusal {
+            reason,
+            retry_after,
+        };
         let Some(config) = self.config.clone() else {
             return Err(refuse(Reason::NoTable, Some(COME_BACK)));
         };
@@ -268,6 +277,7 @@
             avoid: Vec::new(),
             may_have_run: false,
             chain,
+            begun: false,
         })
     }
 
@@ -303,17 +313,30 @@
         }
         let (offer, candidates) = self.choose(now, pass);
         let Some(offer) = offer else {
+            if pass.begun {
+                // An upstream that turned it away or fell silent may go on with it later.
+                pass.avoid.clear();
+                return Step::Hold(now + RESUME_PAUSE);
+            }
             return self.without_upstream(now, pass);
         };
         let again = pass.sent.contains(&offer.id);
         let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
         if !again && pass.sent.len() >= most {
+            if pass.begun {
+                pass.avoid.retain(|id| !pass.sent.contains(id));
+                pass.avoid.push(offer.id);
+                return Step::Hold(now + RESUME_PAUSE);
+            }
             return give_up(pass, Reason::UpstreamRefused, Some(TURNED_AWAY));
         }
         if let Some(step) = self.pace_entry(now, pass, &offer) {
             return step;
         }
         if !self.charge(now, pass) {
+            if pass.begun {
+                return Step::Hold(now + RESUME_PAUSE);
+            }
             return give_up(pass, Reason::RetryBudget, Some(TURNED_AWAY));
         }
         if !again {
@@ -335,7 +358,11 @@
             id: offer.id,
             name: known.entry.id.clone(),
             address: known.entry.address,
-            urgency: pass.ask.generation.is_some().then_some(pass.route.priority.min(9)),
+            urgency: pass
+                .ask
+                .generation
+                .is_some()
+                .then_some(pass.route.priority.min(9)),
             load: known.load.map(|(load, at, _)| (load, now.since(at))),
             read_ms: offer.read_ms,
             backlog_ms,
@@ -385,7 +412,10 @@
     /// A request whose model is on no upstream waits for a placement, others are refused.
     fn without_upstream(&self, now: Time, pass: &Pass) -> Step {
         let placeable = pass.ask.generation.as_ref().is_some_and(|it| {
-            let service = self.config.as_ref().and_then(|config| config.service(&pass.service));
+            let service = self
+                .config
+                .as_ref()
+                .and_then(|config| config.service(&pass.service));
             let engine = service.and_then(|service| service.engine.as_ref());
             engine.is_some_and(|engine| engine.model(&it.model).is_some())
         });
@@ -393,7 +423,11 @@
         if placeable && self.planned && !pass.may_have_run && now < until {
             return Step::Place(until);
         }
-        let reason = if placeable { Reason::NoCopy } else { Reason::NoUpstream };
+        let reason = if placeable {
+            Reason::NoCopy
+        } else {
+            Reason::NoUpstream
+        };
         give_up(pass, reason, Some(COME_BACK))
     }
 
@@ -406,7 +440,15 @@
     /// another one; the request's deadline if there is none. `bound` is the silence that
     /// is borne.
     #[must_use]
-    pub fn patience(&self, now: Time, pass: &Pass, id: UpstreamId, since: Time, bound: Duration, begun: bool) -> Time {
+    pub fn patience(
+        &self,
+        now: Time,
+        pass: &Pass,
+        id: UpstreamId,
+        since: Time,
+        bound: Duration,
+        begun: bool,
+    ) -> Time {
         let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
         if !pass.repeatable(begun) || pass.sent.len() >= most || !self.has_other(now, pass, id) {
             return pass.deadline;
@@ -426,6 +468,7 @@
     /// Takes the first event of an answer, `took` after the send: the prompt is read.
     pub fn first_event(&mut self, pass: &mut Pass, target: &Target, took: Duration) {
         pass.may_have_run = true;
+        pass.begun |= pass.route.streaming;
         if let (Some(it), true) = (&pass.ask.generation, target.backlog_ms < ALONE_MS) {
             self.paces.take(&it.model, target.read_ms, took);
         }
@@ -443,12 +486,15 @@
             }
             Ending::Misplaced => match &pass.ask.generation {
                 // It may be sent there again once the model is placed.
-                Some(it) => known.learn(now, &Change {
-                    upstream: known.entry.id.clone(),
-                    model: it.model.clone(),
-                    adapter: it.adapter.clone(),
-                    present: false,
-                }),
+                Some(it) => known.learn(
+                    now,
+                    &Change {
+                        upstream: known.entry.id.clone(),
+                        model: it.model.clone(),
+                        adapter: it.adapter.clone(),
+                        present: false,
+                    },
+                ),
                 None => pass.avoid.push(id),
             },
             Ending::NotRun => pass.avoid.push(id),
--- a/crates/gate/src/pass.rs
+++ b/crates/gate/src/pass.rs
@@ -33,6 +33,8 @@
     pub(crate) avoid: Vec<UpstreamId>,
     /// Whether it may have run already.
     pub(crate) may_have_run: bool,
+    /// Whether its caller has a part of the stream.
+    pub(crate) begun: bool,
     /// Beginnings of its prompt; none for plain services.
     pub(crate) chain: Chain,
 }
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -72,7 +72,10 @@
             let learnt = self.learnt.iter().find(|(change, until)| {
                 *until > now && *change.model == *model && change.adapter.as_deref() == adapter
             });
-            learnt.map_or_else(|| self.entry.holds(model, adapter), |(change, _)| change.present)
+            learnt.map_or_else(
+                || self.entry.holds(model, adapter),
+                |(change, _)| change.present,
+            )
         };
         has(None) && (adapter.is_none() || has(adapter))
     }
@@ -80,7 +83,8 @@
     /// Takes a change that the planner told of, or that a refusal shows.
     pub fn learn(&mut self, now: Time, change: &Change) {
         let same = |old: &Change| old.model == change.model && old.adapter == change.adapter;
-        self.learnt.retain(|(old, until)| *until > now && !same(old));
+        self.learnt
+            .retain(|(old, until)| *until > now && !same(old));
         self.learnt.push((change.clone(), now + LEARNT));
     }
 
@@ -123,7 +127,11 @@
         });
         // Before its first word, the other hosts are taken to send as much as this one.
         let alike = own * f64::from(hosts);
-        if self.load.is_some() { told.max(own) } else { alike }
+        if self.load.is_some() {
+            told.max(own)
+        } else {
+            alike
+        }
     }
 }
 
