--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -190,6 +190,7 @@
 }
 
 /// Runs a host until it is told to end.
+#[must_use]
 pub fn run(args: &Args) -> ExitCode {
     let (settings, log) = match read(args) {
         Ok(read) => read,
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -11,13 +11,7 @@
 };
 use hyper_util::rt::TokioIo;
 use mulberryrack_core::Name;
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::TcpStream,
     task::{self, AbortHandle},
@@ -64,7 +58,6 @@
 #[derive(Default)]
 pub struct Client {
     idle: RefCell<HashMap<Peer, Vec<Idle>>>,
-    opened: Cell<u64>,
 }
 
 /// A connection in use. Dropping it ends the connection.
@@ -119,11 +112,6 @@
 }
 
 impl Client {
-    /// Connections opened since the start.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Closes kept connections that are past their time.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -153,11 +141,10 @@
                 task: idle.task,
             });
         }
-        self.opened.set(self.opened.get() + 1);
         let connect = TcpStream::connect(peer.address);
-        let stream = match time::timeout(CONNECT_TIMEOUT, connect).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(Fault::NotSent),
+        let connected = time::timeout(CONNECT_TIMEOUT, connect).await;
+        let Ok(Ok(stream)) = connected else {
+            return Err(Fault::NotSent);
         };
         socket::prepare(&stream).map_err(|_| Fault::NotSent)?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -55,6 +55,16 @@
     Failed(Response<Bytes>),
 }
 
+/// An upstream's answer whose head has come.
+struct Answer {
+    /// When the request was sent.
+    sent: Time,
+    connection: Connection,
+    head: response::Parts,
+    body: Incoming,
+    reply: Reply,
+}
+
 /// What the caller has of its answer.
 #[derive(Default)]
 struct Progress {
@@ -345,12 +355,12 @@
             () = self.caller.closed() => return Sent::Over(Ending::Abandoned),
             () = self.silence(pass, target, now) => Err(Fault::Silent),
         };
-        let (connection, head, body) = match headed {
+        let (connection, response, body) = match headed {
             Ok(headed) => headed,
             Err(Fault::NotSent) => return Sent::Again(Ending::NotSent, Retry::Refused),
             Err(fault) => return Self::lost(fault),
         };
-        let reply = self.shared.dialect.reply(&head);
+        let reply = self.shared.dialect.reply(&response);
         self.heard(target);
         if let Some(load) = reply.load {
             let now = self.shared.clock.now();
@@ -363,33 +373,38 @@
         {
             return Self::lost(Fault::Broken);
         }
-        if reply.not_run {
-            return self.not_run(connection, body, &reply, head.status).await;
+        let answer = Answer {
+            sent: now,
+            connection,
+            head: response,
+            body,
+            reply,
+        };
+        if answer.reply.not_run {
+            return Self::not_run(answer).await;
         }
-        if !reply.signed || reply.attempt.is_none() {
+        if !answer.reply.signed || answer.reply.attempt.is_none() {
             return Self::lost(Fault::Broken);
         }
-        if pass.route.streaming && head.status.is_success() {
-            return self
-                .stream(pass, target, now, connection, head, body, &reply)
-                .await;
+        if pass.route.streaming && answer.head.status.is_success() {
+            return self.stream(pass, target, answer).await;
         }
-        self.whole(pass, target, now, connection, head, body, &reply)
-            .await
+        self.whole(pass, target, answer).await
     }
 
-    async fn not_run(
-        &self,
-        connection: Connection,
-        body: Incoming,
-        reply: &Reply,
-        status: StatusCode,
-    ) -> Sent {
+    async fn not_run(answer: Answer) -> Sent {
+        let Answer {
+            connection,
+            head,
+            body,
+            reply,
+            ..
+        } = answer;
         let read = time::timeout(LEAST_SILENCE, body.collect()).await;
         if matches!(read, Ok(Ok(_))) && !reply.close {
             connection.keep(reply.keep_alive);
         }
-        let misplaced = status == StatusCode::MISDIRECTED_REQUEST;
+        let misplaced = head.status == StatusCode::MISDIRECTED_REQUEST;
         let ending = if misplaced {
             Ending::Misplaced
         } else {
@@ -406,16 +421,14 @@
         }
     }
 
-    async fn whole(
-        &mut self,
-        pass: &mut Pass,
-        target: &Target,
-        sent: Time,
-        connection: Connection,
-        mut head: response::Parts,
-        mut body: Incoming,
-        reply: &Reply,
-    ) -> Sent {
+    async fn whole(&mut self, pass: &mut Pass, target: &Target, answer: Answer) -> Sent {
+        let Answer {
+            sent,
+            connection,
+            mut head,
+            mut body,
+            reply,
+        } = answer;
         let until = self.shared.clock.instant(pass.deadline);
         let mut bytes = Vec::new();
         loop {
@@ -470,16 +483,14 @@
         }
     }
 
-    async fn stream(
-        &mut self,
-        pass: &mut Pass,
-        target: &Target,
-        sent: Time,
-        connection: Connection,
-        head: response::Parts,
-        mut body: Incoming,
-        reply: &Reply,
-    ) -> Sent {
+    async fn stream(&mut self, pass: &mut Pass, target: &Target, answer: Answer) -> Sent {
+        let Answer {
+            sent,
+            connection,
+            head,
+            mut body,
+            reply,
+        } = answer;
         let mut splitter = Splitter::default();
         let mut head = Some(head);
         loop {
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -228,9 +228,9 @@
     let holds = shared.claim.borrow().stand(now) != Stand::None;
     if holds {
         let mut planner = shared.planner.borrow_mut();
-        demands
-            .iter()
-            .for_each(|demand| planner.demand(now, demand));
+        for demand in demands {
+            planner.demand(now, demand);
+        }
     }
     holds
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -25,7 +25,7 @@
 /// Time between two reports of demand.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Time for the other host to answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Calls that wait for the host's thread.
 const CALLS: usize = 64;
 /// Time between the signs of life that are asked for on connections between hosts.
@@ -158,7 +158,7 @@
         };
         let message = plan::Demand {
             host: shared.settings.host.to_string(),
-            wanted: wanted.into_iter().map(message).collect(),
+            wanted: wanted.iter().map(message).collect(),
         };
         if let Err(error) = PlannerClient::new(channel).report(message).await {
             journal!(
@@ -180,7 +180,7 @@
     }
 }
 
-fn message(wanted: mulberryrack_gate::Wanted) -> plan::Wanted {
+fn message(wanted: &mulberryrack_gate::Wanted) -> plan::Wanted {
     plan::Wanted {
         model: wanted.model.to_string(),
         adapter: wanted.adapter.as_deref().unwrap_or_default().to_owned(),
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small site: a service of model engines and a plain one.
 
-use mulberryrack_core::{Name, Time};
-use mulberryrack_gate::{Ending, Gate, Pass, Step, Target, Tuning};
+use mulberryrack_core::Time;
+use mulberryrack_gate::{Gate, Pass, Step, Target, Tuning};
 use mulberryrack_site::{
     Ask, Config, Upstream,
     ask::{Generation, Part},
@@ -141,15 +141,3 @@
         other => panic!("not sent: {other:?}"),
     }
 }
-
-/// Sends a request and ends the send.
-pub fn sent_and_ended(gate: &mut Gate, path: &str, ending: Ending) -> (Pass, Name) {
-    let now = Time::from_millis(1_000);
-    let generation = path
-        .starts_with("/stream")
-        .then(|| generation("m0", 1, 100));
-    let (mut pass, step) = start(gate, now, ask(path, generation));
-    let target = target(step);
-    gate.ended(now, &mut pass, target.id, ending);
-    (pass, target.name)
-}
--- a/crates/gate/tests/steps.rs
+++ b/crates/gate/tests/steps.rs
@@ -2,17 +2,27 @@
 
 mod common;
 
-use common::{ask, config, gate, generation, ms, sent_and_ended, start, target, upstream};
+use common::{ask, config, gate, generation, ms, start, target, upstream};
 use mulberryrack_core::{
-    Time,
+    Name, Time,
     outcome::{Reason, Refusal, Retry},
 };
-use mulberryrack_gate::{Change, Ending, Gate, Step, Tuning};
+use mulberryrack_gate::{Change, Ending, Gate, Pass, Step, Tuning};
 use mulberryrack_site::upstream::State;
 use std::sync::Arc;
 
 const NOW: Time = Time::from_millis(1_000);
 
+/// Sends a request and ends the send.
+fn sent_and_ended(gate: &mut Gate, path: &str, ending: Ending) -> (Pass, Name) {
+    let streams = path.starts_with("/stream");
+    let generation = streams.then(|| generation("m0", 1, 100));
+    let (mut pass, step) = start(gate, NOW, ask(path, generation));
+    let target = target(step);
+    gate.ended(NOW, &mut pass, target.id, ending);
+    (pass, target.name)
+}
+
 fn refusal(step: Step) -> Refusal {
     match step {
         Step::Refuse(refusal) => refusal,
--- a/crates/site/src/dialect.rs
+++ b/crates/site/src/dialect.rs
@@ -45,6 +45,10 @@
     fn store_call(&self, op: &kv::Op) -> Request<Bytes>;
 
     /// What an answer of the key-value service says.
+    ///
+    /// # Errors
+    ///
+    /// The call did nothing, or may have taken effect without a usable answer.
     fn store_answer(&self, op: &kv::Op, answer: &Response<Bytes>) -> kv::Outcome;
 
     /// An order to an engine.
--- a/crates/standin/src/world/platform.rs
+++ b/crates/standin/src/world/platform.rs
@@ -102,7 +102,9 @@
             let (exchange, reply) = entry.remove();
             match reply {
                 Ok(reply) => exchange.json(200, &kv_json::Reply::from(reply)),
-                Err(Fault::NotApplied) => exchange.answer(503, "text/plain", "unavailable"),
+                Err(Fault::NotApplied | Fault::HistoryGone) => {
+                    exchange.answer(503, "text/plain", "unavailable");
+                }
                 Err(Fault::Unknown) => exchange.cut(),
             }
         }
