--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,15 +1,22 @@
 //! Logs: one line of key=value pairs for each event.
 
+mod queue;
+
 use crate::config::Log;
 use log::LevelFilter;
 use log4rs::{
-    append::console::{ConsoleAppender, Target},
+    append::{
+        Append,
+        console::{ConsoleAppender, Target},
+    },
     config::{Appender, Config, Logger, Root},
     encode::pattern::PatternEncoder,
 };
 use mulberryrack_core::note::{Level, Note};
 use std::fmt::Write;
 
+/// Name of the one appender.
+const OUTPUT: &str = "output";
 const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} target={t} {m}{n}";
 
 /// Starts logging to the standard error stream.
@@ -22,8 +29,22 @@
         .target(Target::Stderr)
         .encoder(Box::new(PatternEncoder::new(PATTERN)))
         .build();
-    let mut config =
-        Config::builder().appender(Appender::builder().build("stderr", Box::new(stderr)));
+    start_with(settings, Box::new(stderr))
+}
+
+/// Starts logging to the standard output without ever blocking: lines that cannot be
+/// written in time are dropped and counted in a line of their own.
+///
+/// # Errors
+///
+/// A line that names the level or target that cannot be used, or why there is no thread.
+pub fn start_queued(settings: &Log) -> Result<(), String> {
+    let queue = queue::Queue::start(PATTERN).map_err(|error| error.to_string())?;
+    start_with(settings, Box::new(queue))
+}
+
+fn start_with(settings: &Log, append: Box<dyn Append>) -> Result<(), String> {
+    let mut config = Config::builder().appender(Appender::builder().build(OUTPUT, append));
     for pair in settings.targets.split(',').filter(|pair| !pair.is_empty()) {
         let (target, word) = pair
             .split_once('=')
@@ -31,7 +52,7 @@
         config = config.logger(Logger::builder().build(target.trim(), level(word.trim())?));
     }
     let root = Root::builder()
-        .appender("stderr")
+        .appender(OUTPUT)
         .build(level(&settings.level)?);
     let config = config.build(root).map_err(|error| error.to_string())?;
     log4rs::init_config(config)
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -89,6 +89,14 @@
     #[serde(rename = "grace_s")]
     #[serde_as(as = "PickFirst<(DurationSecondsWithFrac<f64>, DurationSecondsWithFrac<String>)>")]
     grace: Duration,
+    /// Time after which an accepted change is in force.
+    #[serde(rename = "config_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    config: Duration,
+    /// Time after which an upstream that leaves gets no requests.
+    #[serde(rename = "drain_ms")]
+    #[serde_as(as = "PickFirst<(DurationMilliSeconds<u64>, DurationMilliSeconds<String>)>")]
+    drain: Duration,
     /// Repeats as a share of requests.
     #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
     retry_share: f64,
@@ -117,6 +125,8 @@
     fn default() -> Self {
         Self {
             grace: Duration::from_secs(8),
+            config: Duration::from_secs(2),
+            drain: Duration::from_secs(2),
             retry_share: 0.2,
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
@@ -170,6 +180,7 @@
         lease_min: store.lease_min,
         bounds: Bounds {
             grace: bounds.grace,
+            follow: bounds.config.min(bounds.drain),
             retry_share: bounds.retry_share,
             retry_extra: bounds.retry_extra,
             retry_window: bounds.retry_window,
@@ -203,11 +214,13 @@
         println!("{}: the settings can be used", args.config.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logging::start(&log) {
+    if let Err(error) = logging::start_queued(&log) {
         eprintln!("{error}");
         return ExitCode::from(crate::args::EXIT_SETTINGS);
     }
-    match mulberryrack_edge::run(settings, Platform) {
+    let ended = mulberryrack_edge::run(settings, Platform);
+    log::logger().flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(target: "host", "event=start-failed error={error:?}");
--- /dev/null
+++ b/crates/daemon/tests/site.rs
@@ -0,0 +1,422 @@
+//! A host on the users' platform as a process, between callers, upstreams and a stand-in
+//! for the platform's key-value service.
+
+#[path = "site/store.rs"]
+mod store;
+#[path = "site/upstream.rs"]
+mod upstream;
+
+use serde_json::{Value, json};
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+use store::Store;
+use upstream::{Request, Upstream, answer, chunk, events, head};
+
+/// Hosts started by this test process, for names of files.
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// A running host; killed when dropped.
+struct Host {
+    child: Child,
+    callers: SocketAddr,
+    directory: SocketAddr,
+    readiness: SocketAddr,
+    store: Store,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // It has ended already where a test stops it.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn config(version: u64, timeout_ms: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": name, "hostname": "shop.example", "prefix": format!("/{name}/"),
+            "route-kind": kind, "timeout-ms": timeout_ms, "target-latency-ms": 1_000,
+            "priority": 1, "service-name": service, "max-attempts": 2,
+            "resumable": resumable, "target-gap-ms": 600,
+        })
+    };
+    let model = json!({ "name": "m", "weights-mb": 1.0, "load-time-s": 1.0, "adapters": 0 });
+    json!({
+        "version": version,
+        "routes": [
+            route("book", "non_idempotent", "desk", false),
+            route("look", "idempotent", "desk", false),
+            route("draft", "streaming", "llm", true),
+        ],
+        "services": [
+            { "name": "desk", "max-connections": 10 },
+            { "name": "llm", "max-connections": 10, "engine": {
+                "slot-count": 8, "kv-cache-tokens": 1_000, "weights-mb": 10.0, "models": [model],
+            } },
+        ],
+        "limits": {
+            "max-header-bytes": 8_192, "max-body-bytes": 10_000,
+            "header-timeout-ms": 1_000, "idle-timeout-ms": 2_000,
+        },
+    })
+}
+
+fn entry(service: &str, upstream: &Upstream, state: &str) -> Value {
+    json!({
+        "service-name": service, "address": upstream.address, "zone": "a", "version": "v1",
+        "slot-count": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1, "born": 1,
+        "models": [{ "name": "m", "version": 1, "adapters": [] }],
+    })
+}
+
+impl Host {
+    /// Starts a host whose key-value service has these upstreams, and waits until it is
+    /// ready.
+    fn start(upstreams: &[(&str, &str, &Upstream)]) -> Self {
+        let store = Store::start();
+        store.write("op/config", &config(1, 3_000));
+        for (id, service, upstream) in upstreams {
+            store.write(&format!("servers/{id}"), &entry(service, upstream, "ready"));
+        }
+        // What another writer left is nobody's upstream and harms no other.
+        store.put("servers/torn", b"\xff{".to_vec(), 0);
+        store.write(
+            "servers/odd",
+            &json!({ "service-name": 7, "state": "asleep" }),
+        );
+        Self::start_with(store)
+    }
+
+    fn start_with(store: Store) -> Self {
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let file = format!("mulberryrack-site-{}-{number}.ini", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        let text = format!(
+            "[host]\nname = h{number}\ndata_centre = a\nip = 127.0.0.1\n\
+             caller_address = 127.0.0.1:0\nreadiness_address = 127.0.0.1:0\n\
+             directory_address = 127.0.0.1:0\npeer_port = 0\nmetrics_port = 0\n\
+             descriptors = 400\n[store]\naddress = {}\n[bounds]\ngrace_s = 6\n",
+            store.address
+        );
+        fs::write(&path, text).expect("a writable directory");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_mulberryrackd"))
+            .args(["site", "--config"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let mut log = BufReader::new(child.stdout.take().expect("a pipe")).lines();
+        let started = log.find_map(|line| {
+            let line = line.expect("text");
+            line.contains("event=started").then_some(line)
+        });
+        let started = started.expect("the host starts");
+        let address = |key: &str| {
+            let field = started.split(' ').find_map(|field| field.strip_prefix(key));
+            field.expect(key).parse().expect("an address")
+        };
+        let host = Self {
+            callers: address("callers="),
+            directory: address("directory="),
+            readiness: address("readiness="),
+            child,
+            store,
+        };
+        // The log is read on so that the host never waits for it.
+        thread::spawn(move || log.count());
+        host.until(|host| host.status(host.readiness, "/mulberryrack/ready") == 200);
+        host.until(|host| host.store.has("mulberryrack/hosts/"));
+        host
+    }
+
+    fn until(&self, what: impl Fn(&Self) -> bool) {
+        let end = Instant::now() + Duration::from_secs(20);
+        while !what(self) {
+            assert!(Instant::now() < end, "it did not come about");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn status(&self, address: SocketAddr, path: &str) -> u16 {
+        let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        status(&exchange(address, &text))
+    }
+
+    /// Sends a request and returns all that comes back.
+    fn ask(&self, method: &str, path: &str, more: &str, body: &str) -> String {
+        exchange(self.callers, &request(method, path, more, body))
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill")
+            .args(["-s", name, &self.child.id().to_string()])
+            .status();
+        assert!(kill.expect("the command runs").success());
+    }
+}
+
+fn request(method: &str, path: &str, more: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id1\r\n\
+         Deadline-Ms: 2500\r\nConnection: close\r\nContent-Length: {}\r\n{more}\r\n{body}",
+        body.len()
+    )
+}
+
+fn exchange(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a listener");
+    stream.write_all(text.as_bytes()).expect("a connection");
+    let mut answer = Vec::new();
+    // A connection that is broken off ends with an error; what came before counts.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn status(answer: &str) -> u16 {
+    let word = answer.split(' ').nth(1).unwrap_or("0");
+    word.parse().unwrap_or(0)
+}
+
+const MODEL: &str = "Model: m\r\nToken-Counts: 10,5\r\nPrompt-Prefix: 1:10\r\n";
+
+#[test]
+fn a_request_is_passed_on_without_what_only_the_system_sets() {
+    let desk = Upstream::start(answer);
+    let host = Host::start(&[("d0", "desk", &desk)]);
+    let more = "Hold: x\r\nPin-Ms: 5\r\nKv-From: 1.2.3.4:5/6\r\nTarget-Instance: other\r\n\
+                X-Own: kept\r\nTransfer: no\r\n";
+    let answer = host.ask("POST", "/book/1?a=b", more, "order");
+    assert_eq!(status(&answer), 200);
+    assert!(answer.to_lowercase().contains("response-signature: sig"));
+    assert!(answer.ends_with("whole") && !answer.to_lowercase().contains("instance-load"));
+    let seen = desk.seen().pop().expect("it ran");
+    assert_eq!(
+        (seen.line.as_str(), &*seen.body),
+        ("POST /book/1?a=b HTTP/1.1", &b"order"[..])
+    );
+    assert_eq!(
+        (seen.header("attempt-id"), seen.header("x-own")),
+        ("id1", "kept")
+    );
+    assert_eq!(seen.header("target-instance"), "d0");
+    assert!(seen.header("deadline-ms").parse::<u64>().expect("a number") <= 2_500);
+    for name in ["hold", "pin-ms", "kv-from", "request-urgency"] {
+        assert_eq!(seen.header(name), "", "{name}");
+    }
+}
+
+#[test]
+fn what_has_no_route_or_no_sense_is_refused_by_the_host() {
+    let desk = Upstream::start(answer);
+    let host = Host::start(&[("d0", "desk", &desk)]);
+    assert_eq!(status(&host.ask("GET", "/nowhere/", "", "")), 404);
+    assert_eq!(
+        status(&exchange(
+            host.callers,
+            "GET /look/ HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )),
+        400
+    );
+    assert_eq!(
+        status(&host.ask("POST", "/book/", "", &"x".repeat(10_001))),
+        413
+    );
+    let long = format!("X-Long: {}\r\n", "x".repeat(20_000));
+    assert_eq!(status(&host.ask("GET", "/look/", &long, "")), 431);
+    assert!(desk.seen().is_empty());
+}
+
+#[test]
+fn a_lost_answer_is_no_refusal_and_what_may_run_once_is_not_sent_again() {
+    let cut = |request: &Request, stream: &mut TcpStream| {
+        let text = head(request, "Content-Length: 50\r\n") + "half";
+        let _ = stream.write_all(text.as_bytes());
+    };
+    let (one, two) = (Upstream::start(cut), Upstream::start(cut));
+    let host = Host::start(&[("d0", "desk", &one), ("d1", "desk", &two)]);
+    assert_eq!(status(&host.ask("POST", "/book/1", "", "x")), 502);
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+    assert_eq!(status(&host.ask("GET", "/look/1", "", "")), 502);
+    assert_eq!(
+        one.seen().len() + two.seen().len(),
+        2,
+        "two upstreams at the most"
+    );
+}
+
+#[test]
+fn an_answer_to_another_request_is_nobodys() {
+    let other = |_: &Request, stream: &mut TcpStream| {
+        let request = Request::default();
+        answer(&request, stream);
+    };
+    let desk = Upstream::start(other);
+    let host = Host::start(&[("d0", "desk", &desk)]);
+    let answer = host.ask("POST", "/book/1", "", "x");
+    assert_eq!(status(&answer), 502);
+    assert!(!answer.contains("whole") && !answer.contains("sig"));
+}
+
+#[test]
+fn a_refusal_of_the_only_upstream_is_passed_on_as_not_run() {
+    let full = |_: &Request, stream: &mut TcpStream| {
+        let _ = stream.write_all(b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+    let desk = Upstream::start(full);
+    let host = Host::start(&[("d0", "desk", &desk)]);
+    let answer = host.ask("POST", "/book/1", "", "x");
+    assert_eq!(status(&answer), 503);
+    assert!(answer.to_lowercase().contains("retry-after: "));
+}
+
+#[test]
+fn a_broken_stream_goes_on_elsewhere_and_every_event_comes_once() {
+    let script = |request: &Request, stream: &mut TcpStream| {
+        let text = match request.header("last-event-id") {
+            "" => {
+                let torn = chunk(&(events(1, 3) + "id: 4\nda"));
+                head(request, "Transfer-Encoding: chunked\r\n") + &torn
+            }
+            last => {
+                let next = last.parse::<u32>().expect("a number") + 1;
+                head(request, "Transfer-Encoding: chunked\r\n")
+                    + &chunk(&events(next, 6))
+                    + "0\r\n\r\n"
+            }
+        };
+        let _ = stream.write_all(text.as_bytes());
+    };
+    let (one, two) = (Upstream::start(script), Upstream::start(script));
+    let host = Host::start(&[("e0", "llm", &one), ("e1", "llm", &two)]);
+    let answer = host.ask("POST", "/draft/1", MODEL, "prompt");
+    assert_eq!(status(&answer), 200);
+    for id in 1..=6 {
+        assert_eq!(
+            answer.matches(&format!("token{id}\n")).count(),
+            1,
+            "{answer}"
+        );
+    }
+    assert!(answer.ends_with("0\r\n\r\n"), "complete");
+    assert_eq!((one.seen().len(), two.seen().len()), (1, 1));
+}
+
+#[test]
+fn a_stream_that_cannot_go_on_does_not_look_whole() {
+    let torn = |request: &Request, stream: &mut TcpStream| {
+        let text = head(request, "Transfer-Encoding: chunked\r\n") + &chunk(&events(1, 3));
+        let _ = stream.write_all(text.as_bytes());
+    };
+    let engine = Upstream::start(torn);
+    let host = Host::start(&[("e0", "llm", &engine)]);
+    let answer = host.ask("POST", "/draft/1", MODEL, "prompt");
+    assert!(answer.contains("token3") && !answer.ends_with("0\r\n\r\n"));
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_of_its_upstream() {
+    let endless = |request: &Request, stream: &mut TcpStream| {
+        let _ = stream.write_all(head(request, "Transfer-Encoding: chunked\r\n").as_bytes());
+        for id in 1.. {
+            thread::sleep(Duration::from_millis(20));
+            if stream.write_all(chunk(&events(id, id)).as_bytes()).is_err() {
+                break;
+            }
+        }
+        // The connection has ended: tell the test by a connection of its own.
+        let _ = TcpStream::connect(request.header("x-tell"));
+    };
+    let engine = Upstream::start(endless);
+    let host = Host::start(&[("e0", "llm", &engine)]);
+    let told = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let tell = told.local_addr().expect("an address");
+    let mut stream = TcpStream::connect(host.callers).expect("a listener");
+    let text = request(
+        "POST",
+        "/draft/1",
+        &format!("{MODEL}X-Tell: {tell}\r\n"),
+        "prompt",
+    );
+    stream.write_all(text.as_bytes()).expect("a connection");
+    stream
+        .read_exact(&mut [0u8; 200])
+        .expect("the answer begins");
+    drop(stream);
+    told.accept().expect("the engine's connection ends");
+}
+
+#[test]
+fn a_route_that_was_added_is_served_and_an_upstream_that_leaves_gets_nothing() {
+    let (one, two) = (Upstream::start(answer), Upstream::start(answer));
+    let host = Host::start(&[("d0", "desk", &one), ("d1", "desk", &two)]);
+    let mut leaving = entry("desk", &one, "draining");
+    leaving["sequence"] = json!(2);
+    host.store.write("servers/d0", &leaving);
+    let mut newer = config(9, 3_000);
+    newer["routes"][0]["prefix"] = json!("/order/");
+    host.store.write("op/config", &newer);
+    host.until(|host| status(&host.ask("POST", "/order/1", "", "x")) == 200);
+    let before = one.seen().len();
+    for _ in 0..10 {
+        assert_eq!(status(&host.ask("POST", "/order/1", "", "x")), 200);
+    }
+    assert_eq!(one.seen().len(), 0, "{before} before");
+    assert_eq!(status(&host.ask("POST", "/book/1", "", "x")), 404);
+}
+
+#[test]
+fn a_host_that_is_stopped_leaves_the_addresses_and_finishes_what_it_has() {
+    let slow = |request: &Request, stream: &mut TcpStream| {
+        thread::sleep(Duration::from_millis(1_000));
+        answer(request, stream);
+    };
+    let desk = Upstream::start(slow);
+    let mut host = Host::start(&[("d0", "desk", &desk)]);
+    let question = "/mulberryrack/resolve?name=shop.example&region=r&zone=a";
+    host.until(|host| host.status(host.directory, question) == 200);
+    let callers = host.callers;
+    let running = thread::spawn(move || exchange(callers, &request("POST", "/book/1", "", "x")));
+    desk.requests.recv().expect("it runs");
+    host.signal("HUP");
+    host.signal("TERM");
+    assert_eq!(status(&running.join().expect("an answer")), 200);
+    host.until(|host| host.status(host.readiness, "/mulberryrack/ready") == 503);
+    host.until(|host| !host.store.has("mulberryrack/"));
+    assert_eq!(host.status(host.directory, question), 503);
+    // Who still comes with an old answer is served.
+    assert_eq!(status(&host.ask("POST", "/book/2", "", "x")), 200);
+    assert!(host.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn settings_that_cannot_be_used_are_all_told() {
+    let path = std::env::temp_dir().join(format!("mulberryrack-bad-{}.ini", std::process::id()));
+    fs::write(
+        &path,
+        "[host]\nname = h\ncolour = red\n[store]\naddress = nowhere\n",
+    )
+    .expect("a file");
+    let output = Command::new(env!("CARGO_BIN_EXE_mulberryrackd"))
+        .args(["site", "--check-config", "--config"])
+        .arg(&path)
+        .output()
+        .expect("the binary runs");
+    fs::remove_file(path).expect("the file is there");
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    for part in [
+        "colour is not a setting",
+        "address = \"nowhere\"",
+        "caller_address",
+    ] {
+        assert!(told.contains(part), "{part}: {told}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/site/store.rs
@@ -0,0 +1,170 @@
+//! A stand-in for the platform's key-value service: items, leases that never lapse,
+//! conditions and watches.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Condvar, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+use tiny_http::{Request, Response, Server};
+
+#[derive(Default)]
+struct Items {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64, u64)>,
+    /// Every change, as a watch tells of it.
+    history: Vec<Value>,
+    leases: u64,
+}
+
+/// The service, and a way to write into it as the operator and engines do.
+#[derive(Clone)]
+pub struct Store {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<Items>, Condvar)>,
+}
+
+fn item(key: &str, (value, revision, lease): &(Vec<u8>, u64, u64)) -> Value {
+    json!({ "key": key, "value": STANDARD.encode(value), "revision": revision, "lease": lease })
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let server = Arc::new(Server::http("127.0.0.1:0").expect("a free port"));
+        let store = Self {
+            address: server.server_addr().to_ip().expect("an IP address"),
+            state: Arc::default(),
+        };
+        for _ in 0..8 {
+            let (server, store) = (server.clone(), store.clone());
+            thread::spawn(move || {
+                for request in server.incoming_requests() {
+                    store.serve(request);
+                }
+            });
+        }
+        store
+    }
+
+    pub fn write(&self, key: &str, value: &Value) {
+        self.put(key, value.to_string().into_bytes(), 0);
+    }
+
+    pub fn put(&self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
+        let (items, changed) = &*self.state;
+        let mut items = items.lock().expect("unpoisoned");
+        items.revision += 1;
+        let entry = (value, items.revision, lease);
+        items.history.push(item(key, &entry));
+        items.items.insert(key.to_owned(), entry);
+        changed.notify_all();
+        items.revision
+    }
+
+    pub fn remove(&self, key: &str) {
+        let (items, changed) = &*self.state;
+        let mut items = items.lock().expect("unpoisoned");
+        items.revision += 1;
+        let revision = items.revision;
+        items.items.remove(key);
+        items
+            .history
+            .push(json!({ "key": key, "revision": revision, "tombstone": true }));
+        changed.notify_all();
+    }
+
+    pub fn has(&self, prefix: &str) -> bool {
+        let items = self.state.0.lock().expect("unpoisoned");
+        items.items.keys().any(|key| key.starts_with(prefix))
+    }
+
+    fn serve(&self, mut request: Request) {
+        let mut body = String::new();
+        request.as_reader().read_to_string(&mut body).expect("text");
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let call = path.trim_start_matches("/mulberryrack/");
+        let (status, answer) = match call.split('/').next() {
+            Some("kv-range") => (200, self.range(query["prefix"])),
+            Some("kv-watch") => (200, self.watch(&query)),
+            Some("kv-txn") => self.transaction(&serde_json::from_str(&body).expect("JSON")),
+            Some("kv-lease") => {
+                let mut items = self.state.0.lock().expect("unpoisoned");
+                items.leases += 1;
+                (200, json!({ "lease": items.leases, "ttl-ms": 3_000 }))
+            }
+            Some("kv-keep") => (200, json!({ "ttl-ms": 3_000 })),
+            Some("kv-lease-end") => {
+                self.end_lease(call.rsplit('/').next().expect("an id"));
+                (200, json!({}))
+            }
+            _ => (404, json!({})),
+        };
+        let answer = Response::from_string(answer.to_string()).with_status_code(status);
+        // The host may be gone.
+        let _ = request.respond(answer);
+    }
+
+    fn range(&self, prefix: &str) -> Value {
+        let items = self.state.0.lock().expect("unpoisoned");
+        let found = items
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        let found: Vec<Value> = found.map(|(key, entry)| item(key, entry)).collect();
+        json!({ "items": found, "has-more": false, "current-rev": items.revision })
+    }
+
+    fn watch(&self, query: &BTreeMap<&str, &str>) -> Value {
+        let after: u64 = query["after"].parse().expect("a number");
+        let wait = Duration::from_millis(query["wait-ms"].parse().expect("a number"));
+        let until = Instant::now() + wait;
+        let (items, changed) = &*self.state;
+        let mut items = items.lock().expect("unpoisoned");
+        while items.revision <= after && Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now());
+            items = changed.wait_timeout(items, left).expect("unpoisoned").0;
+        }
+        let newer = |event: &&Value| event["revision"].as_u64() > Some(after);
+        let events: Vec<Value> = items.history.iter().filter(newer).cloned().collect();
+        json!({ "events": events, "current-rev": items.revision })
+    }
+
+    fn transaction(&self, body: &Value) -> (u16, Value) {
+        for condition in body["precondition"].as_array().expect("a list") {
+            let key = condition["key"].as_str().expect("a key");
+            let items = self.state.0.lock().expect("unpoisoned");
+            let found = items.items.get(key);
+            if condition["revision"].as_u64() != Some(found.map_or(0, |entry| entry.1)) {
+                let found: Vec<Value> = found.map(|entry| item(key, entry)).into_iter().collect();
+                return (412, json!({ "items": found }));
+            }
+        }
+        let mut revision = 0;
+        for write in body["writes"].as_array().expect("a list") {
+            let value = STANDARD.decode(write["value"].as_str().expect("text"));
+            let key = write["key"].as_str().expect("a key");
+            let lease = write["lease"].as_u64().expect("a lease");
+            revision = self.put(key, value.expect("base64"), lease);
+        }
+        (200, json!({ "revision": revision }))
+    }
+
+    fn end_lease(&self, lease: &str) {
+        let lease: u64 = lease.parse().expect("a number");
+        let keys: Vec<String> = {
+            let items = self.state.0.lock().expect("unpoisoned");
+            let held = items.items.iter().filter(|(_, entry)| entry.2 == lease);
+            held.map(|(key, _)| key.clone()).collect()
+        };
+        keys.iter().for_each(|key| self.remove(key));
+    }
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -22,11 +22,12 @@
 use std::{
     cell::{Cell, RefCell},
     io,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 use tokio::{
-    net::UdpSocket,
+    net::{TcpListener, UdpSocket},
     runtime::Builder,
     signal::unix::{SignalKind, signal},
     sync::Notify,
@@ -90,23 +91,48 @@
     })
 }
 
-async fn serve<D: Dialect>(settings: Settings, dialect: Rc<D>) -> io::Result<()> {
+/// Sockets that a host listens on.
+struct Doors {
+    callers: TcpListener,
+    readiness: TcpListener,
+    directory: TcpListener,
+    metrics: TcpListener,
+    peers: TcpListener,
+    datagrams: UdpSocket,
+}
+
+impl Doors {
+    /// Listens on all addresses; those with port 0 get a free one, which is set.
+    async fn open(settings: &mut Settings) -> io::Result<Self> {
+        let listen = |address: &mut SocketAddr| {
+            let listener = socket::listen(*address)?;
+            *address = listener.local_addr()?;
+            io::Result::Ok(listener)
+        };
+        Ok(Self {
+            callers: listen(&mut settings.callers)?,
+            readiness: listen(&mut settings.readiness)?,
+            directory: listen(&mut settings.directory)?,
+            metrics: listen(&mut settings.metrics)?,
+            peers: listen(&mut settings.peers)?,
+            datagrams: UdpSocket::bind(settings.peers).await?,
+        })
+    }
+}
+
+async fn serve<D: Dialect>(mut settings: Settings, dialect: Rc<D>) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let datagrams = UdpSocket::bind(settings.peers).await?;
-    let shared = share(settings, dialect, datagrams);
+    let doors = Doors::open(&mut settings).await?;
+    let shared = share(settings, dialect, doors.datagrams);
     let link = Rc::new(Link::default());
     let settings = &shared.settings;
-    let callers = socket::listen(settings.callers)?;
-    for address in [settings.readiness, settings.directory, settings.metrics] {
-        task::spawn_local(doors::serve(shared.clone(), socket::listen(address)?));
+    for listener in [doors.readiness, doors.directory, doors.metrics] {
+        task::spawn_local(doors::serve(shared.clone(), listener));
     }
-    task::spawn_local(peers::serve(
-        shared.clone(),
-        socket::listen(settings.peers)?,
-    ));
-    task::spawn_local(caller::serve(shared.clone(), link.clone(), callers));
+    task::spawn_local(peers::serve(shared.clone(), doors.peers));
+    task::spawn_local(caller::serve(shared.clone(), link.clone(), doors.callers));
     task::spawn_local(notices::hear(shared.clone()));
     task::spawn_local(watch::run(shared.clone()));
     task::spawn_local(orders::run(shared.clone()));
@@ -119,6 +145,9 @@
         host = settings.host,
         data_centre = settings.data_centre,
         callers = settings.callers,
+        directory = settings.directory,
+        readiness = settings.readiness,
+        metrics = settings.metrics,
         store = settings.store,
     );
     loop {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -15,9 +15,9 @@
 
 /// How long the service holds a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Pause after an answer with changes, in which further ones gather; a quarter of the
-/// users' bound for a change to be in force leaves time for a lost answer.
-const GATHER: Duration = Duration::from_millis(500);
+/// Share of the bound for following changes that passes after an answer with changes, in
+/// which further ones gather; the rest is for the next call and its retry.
+const GATHER_SHARE: f64 = 0.45;
 /// First pause after a call without an answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two tries, so that a service that is back is noticed at once.
@@ -135,7 +135,7 @@
     }
     if !(entries.is_empty() && deleted.is_empty()) {
         shared.changed.notify_waiters();
-        time::sleep(GATHER).await;
+        time::sleep(shared.settings.bounds.follow.mul_f64(GATHER_SHARE)).await;
     }
     Ok(revision)
 }
--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -13,6 +13,8 @@
 
 /// Longest time after which an order without an answer is carried out.
 const LATE_ORDER: Duration = Duration::from_secs(13);
+/// Time after which an engine is asked again although nothing is known to have changed.
+const TOLD_EVERY: Duration = Duration::from_secs(10);
 /// Time for which the list's or a report's word is older than an accepted order.
 const WORD_LAG: Duration = Duration::from_millis(2_500);
 /// Pause after an engine was found busy with another order; an adapter takes milliseconds.
@@ -50,6 +52,8 @@
     pub orders: Option<u64>,
     /// Invariant: at most one order is open.
     pub open: Option<Open>,
+    /// When it told last what it holds.
+    told: Option<Time>,
     /// Until when a conflict keeps it from new orders.
     pub blocked_until: Time,
     /// When models were first seen here.
@@ -73,6 +77,7 @@
             entry,
             listed: true,
             open: None,
+            told: None,
             blocked_until: Time::ZERO,
             settled: Time::ZERO,
             arrivals: BTreeMap::new(),
@@ -92,7 +97,8 @@
     /// Whether its own word is needed: an order is open or the count of orders unknown, or
     /// memory may be free that is not known to be.
     pub fn unsettled(&self, now: Time) -> bool {
-        let unknown = self.orders.is_none() || self.room.len() > self.models.len();
+        let old = self.told.is_none_or(|told| now.since(told) > TOLD_EVERY);
+        let unknown = old || self.orders.is_none() || self.room.len() > self.models.len();
         self.open.is_some() || (unknown && self.blocked_until <= now)
     }
 
@@ -112,6 +118,7 @@
     pub fn doubt(&mut self) {
         self.open = None;
         self.orders = None;
+        self.told = None;
         self.settled = Time::ZERO;
     }
 
@@ -128,8 +135,9 @@
         let models = by_model(&entry.models);
         self.entry = entry;
         self.room.extend(models.keys().cloned());
-        // An older word than the last accepted order would undo what is known of it.
-        if now.since(self.settled) >= WORD_LAG {
+        // Entries lag by seconds, or for as long as an engine does not reach the service:
+        // once it has told itself what it holds, its own word goes first.
+        if self.told.is_none() {
             self.models = models;
             self.close(now);
         }
@@ -148,7 +156,15 @@
             return;
         }
         self.orders = Some(report.orders);
+        self.told = Some(now);
         self.models = by_model(&report.models);
+        for (model, adapter) in &report.incoming {
+            // One on its way takes a place already.
+            let adapters = self.models.entry(model.clone()).or_default();
+            if !adapters.contains(adapter) {
+                adapters.push(adapter.clone());
+            }
+        }
         self.close(now);
         self.drop_unanswered(now, report);
         self.room.extend(self.models.keys().cloned());
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -128,6 +128,26 @@
     panic!("the adapter was not placed");
 }
 
+#[test]
+fn adapters_on_their_way_take_places() {
+    let mut site = Site::new(1, 20, &[&[0]]);
+    let engine = name("e00");
+    for _ in 0..30 {
+        site.now = site.now + Duration::from_millis(300);
+        for wish in site.planner.plan(site.now) {
+            site.carry_out(&wish);
+            site.planner
+                .answered(site.now, &wish.engine, Verdict::Accepted);
+        }
+        // It has accepted all adapters, and none has arrived.
+        let mut report = site.report(&engine);
+        let adapters = report.models[0].adapters.drain(..);
+        report.incoming = adapters.map(|adapter| (name("m0"), adapter)).collect();
+        site.planner.report(site.now, &engine, &report);
+    }
+    assert_eq!(site.engines[&engine].models["m0"].len(), 8);
+}
+
 #[test]
 fn an_older_entry_does_not_free_memory() {
     let mut site = Site::new(5, 0, &[&[0], &[4], &[1, 2, 3]]);
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -35,6 +35,9 @@
 pub struct Bounds {
     /// Time from the stop signal to the kill.
     pub grace: Duration,
+    /// Time after which an accepted change is in force, and after which an upstream that
+    /// leaves gets no requests; the shorter of the two.
+    pub follow: Duration,
     /// Repeats that may be sent, as a share of requests.
     pub retry_share: f64,
     /// Repeats that may be sent beyond the share, over all hosts.
