A watch that an outage has swallowed is begun anew; adapters are asked for at a bounded rate

Cause: a watch that waited at the store when it fell silent was never answered, and hosts waited out its 20 s; a renewal that is answered after one that was not now restarts it.

--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -12,7 +12,10 @@
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -22,6 +25,9 @@
 /// Hosts started by this test process, for names of files.
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
+/// Time after which a test gives up; shorter than a watch of the host waits.
+const TEST_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// A running host; killed when dropped.
 struct Host {
     child: Child,
@@ -29,6 +35,8 @@
     directory: SocketAddr,
     readiness: SocketAddr,
     store: Store,
+    /// Log lines on placements that were asked for.
+    placements: Arc<AtomicU32>,
 }
 
 impl Drop for Host {
@@ -129,16 +137,23 @@
             readiness: address("readiness="),
             child,
             store,
+            placements: Arc::default(),
         };
         // The log is read on so that the host never waits for it.
-        thread::spawn(move || log.count());
+        let counted = host.placements.clone();
+        thread::spawn(move || {
+            for line in log.map_while(Result::ok) {
+                let placement = line.contains("event=adapter-placed");
+                counted.fetch_add(u32::from(placement), Ordering::Relaxed);
+            }
+        });
         host.until(|host| host.status(host.readiness, "/mulberryrack/ready") == 200);
         host.until(|host| host.store.has("mulberryrack/hosts/"));
         host
     }
 
     fn until(&self, what: impl Fn(&Self) -> bool) {
-        let end = Instant::now() + Duration::from_secs(20);
+        let end = Instant::now() + TEST_TIMEOUT;
         while !what(self) {
             assert!(Instant::now() < end, "it did not come about");
             thread::sleep(Duration::from_millis(20));
@@ -372,6 +387,42 @@
     assert_eq!(status(&host.ask("POST", "/book/1", "", "x")), 404);
 }
 
+#[test]
+fn a_watch_that_an_outage_has_swallowed_is_begun_anew() {
+    let desk = Upstream::start(answer);
+    let host = Host::start(&[("d0", "desk", &desk)]);
+    // The watch waits at the service, which forgets it.
+    host.store.silent.store(true, Ordering::Relaxed);
+    host.store.write("mulberryrack/nothing", &json!({}));
+    thread::sleep(Duration::from_millis(2_500));
+    host.store.silent.store(false, Ordering::Relaxed);
+    let mut newer = config(9, 3_000);
+    newer["routes"][0]["prefix"] = json!("/order/");
+    host.store.write("op/config", &newer);
+    // The watch itself waits for longer than the test does.
+    host.until(|host| status(&host.ask("POST", "/order/1", "", "x")) == 200);
+}
+
+#[test]
+fn an_adapter_that_cannot_be_placed_is_asked_for_at_a_bounded_rate() {
+    let engine = Upstream::start(answer);
+    let host = Host::start(&[("e0", "llm", &engine)]);
+    let model = MODEL.replace("Model: m", "Model: m/a1");
+    let asked = |host: &Host| host.placements.load(Ordering::Relaxed);
+    host.until(|host| {
+        assert_eq!(status(&host.ask("POST", "/draft/1", &model, "prompt")), 503);
+        asked(host) > 0
+    });
+    let before = asked(&host);
+    assert_eq!(status(&host.ask("POST", "/draft/1", &model, "prompt")), 503);
+    // The request waits for less than its objective of a second.
+    assert!(
+        asked(&host) - before < 40,
+        "{} times",
+        asked(&host) - before
+    );
+}
+
 #[test]
 fn a_host_that_is_stopped_leaves_the_addresses_and_finishes_what_it_has() {
     let slow = |request: &Request, stream: &mut TcpStream| {
--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -6,7 +6,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -26,6 +29,8 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<Items>, Condvar)>,
+    /// While set, calls are never answered, also not later.
+    pub silent: Arc<AtomicBool>,
 }
 
 fn item(key: &str, (value, revision, lease): &(Vec<u8>, u64, u64)) -> Value {
@@ -34,19 +39,19 @@
 
 impl Store {
     pub fn start() -> Self {
-        let server = Arc::new(Server::http("127.0.0.1:0").expect("a free port"));
+        let server = Server::http("127.0.0.1:0").expect("a free port");
         let store = Self {
             address: server.server_addr().to_ip().expect("an IP address"),
             state: Arc::default(),
+            silent: Arc::default(),
         };
-        for _ in 0..8 {
-            let (server, store) = (server.clone(), store.clone());
-            thread::spawn(move || {
-                for request in server.incoming_requests() {
-                    store.serve(request);
-                }
-            });
-        }
+        let serving = store.clone();
+        thread::spawn(move || {
+            for request in server.incoming_requests() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(request));
+            }
+        });
         store
     }
 
@@ -83,6 +88,7 @@
     }
 
     fn serve(&self, mut request: Request) {
+        let silent = self.silent.load(Ordering::Relaxed);
         let mut body = String::new();
         request.as_reader().read_to_string(&mut body).expect("text");
         let url = request.url().to_owned();
@@ -108,6 +114,11 @@
             }
             _ => (404, json!({})),
         };
+        if silent || self.silent.load(Ordering::Relaxed) {
+            // Dropping it would answer it.
+            std::mem::forget(request);
+            return;
+        }
         let answer = Response::from_string(answer.to_string()).with_status_code(status);
         // The host may be gone.
         let _ = request.respond(answer);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -82,6 +82,7 @@
         holder: RefCell::default(),
         phase: Cell::new(Phase::Starting),
         store_reached: Cell::new(false),
+        store_back: Notify::new(),
         changed: Notify::new(),
         phased: Notify::new(),
         open: Cell::new(0),
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -32,6 +32,8 @@
     lease: Option<Lease>,
     /// Revision of the host's key, once written under the lease.
     seat: Option<Revision>,
+    /// Whether the last renewal had no answer.
+    unanswered: bool,
 }
 
 /// Keeps this host's keys until it leaves, then removes them.
@@ -61,25 +63,27 @@
 
 async fn keep<D: Dialect>(shared: &Shared<D>, tenancy: &mut Tenancy) {
     let sent = shared.clock.now();
-    match tenancy.lease {
-        None => grant(shared, tenancy).await,
-        Some(lease) => match shared.store.call(&Op::Renew { lease }).await {
-            Ok(Reply::Renewed(true)) => shared.claim.borrow_mut().renewed(sent),
-            Ok(_) => {
-                journal!(warn, "lease-lost", lease = lease.0);
-                shared.claim.borrow_mut().lost();
-                *tenancy = Tenancy::default();
-                grant(shared, tenancy).await;
-            }
-            Err(fault) => {
-                journal!(
-                    warn,
-                    "lease-not-renewed",
-                    lease = lease.0,
-                    fault = format_args!("{fault:?}")
-                );
-            }
-        },
+    let Some(lease) = tenancy.lease else {
+        grant(shared, tenancy).await;
+        return;
+    };
+    let renewed = shared.store.call(&Op::Renew { lease }).await;
+    if renewed.is_ok() && tenancy.unanswered {
+        shared.store_back.notify_waiters();
+    }
+    tenancy.unanswered = renewed.is_err();
+    match renewed {
+        Ok(Reply::Renewed(true)) => shared.claim.borrow_mut().renewed(sent),
+        Ok(_) => {
+            journal!(warn, "lease-lost", lease = lease.0);
+            shared.claim.borrow_mut().lost();
+            *tenancy = Tenancy::default();
+            grant(shared, tenancy).await;
+        }
+        Err(fault) => {
+            let fault = format_args!("{fault:?}");
+            journal!(warn, "lease-not-renewed", lease = lease.0, fault = fault);
+        }
     }
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -26,6 +26,8 @@
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Time for the other host to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before an adapter is asked for again.
+const PLACE_AGAIN: Duration = Duration::from_millis(150);
 /// Calls that wait for the host's thread.
 const CALLS: usize = 64;
 /// Time between the signs of life that are asked for on connections between hosts.
@@ -196,7 +198,6 @@
         return;
     }
     let engines = ask(&shared, &link, &model, &adapter).await;
-    link.asking.borrow_mut().remove(&key);
     journal!(
         info,
         "adapter-placed",
@@ -215,6 +216,9 @@
         shared.gate.borrow_mut().change(now, &change);
     }
     shared.changed.notify_waiters();
+    // Requests that still wait for it ask again, not at once.
+    time::sleep(PLACE_AGAIN).await;
+    link.asking.borrow_mut().remove(&key);
 }
 
 async fn ask<D: Dialect>(
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -46,6 +46,9 @@
     pub phase: Cell<Phase>,
     /// Whether the key-value service answered the last watch.
     pub store_reached: Cell<bool>,
+    /// Told when the key-value service answers again after it has not: a watch that waits
+    /// there may have been forgotten.
+    pub store_back: Notify,
     /// Told when upstreams, placements or hosts have changed.
     pub changed: Notify,
     /// Told when the phase has changed.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -30,9 +30,19 @@
     let mut pause = FIRST_PAUSE;
     let mut at: Option<Revision> = None;
     loop {
-        let step = match at {
-            None => read_all(&shared).await,
-            Some(after) => follow(&shared, after).await,
+        let back = shared.store_back.notified();
+        let step = async {
+            match at {
+                None => read_all(&shared).await,
+                Some(after) => follow(&shared, after).await,
+            }
+        };
+        let step = tokio::select! {
+            step = step => step,
+            () = back => {
+                journal!(info, "watch-again", after = at.map_or(0, |it| it.0));
+                continue;
+            }
         };
         match step {
             Ok(revision) => {
