--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -270,13 +270,16 @@
         }
     }
 
-    /// An adapter takes milliseconds: it counts as there once its order is accepted.
+    /// Takes over what the open order has brought about by its answer: an adapter that was
+    /// accepted takes milliseconds and its place at once; one that is still in use when it
+    /// is to go keeps its place until the engine tells that it is gone.
     fn assume(&mut self, now: Time) {
         let Some(open) = &self.open else {
             return;
         };
+        let held = open.verdict == Some(Verdict::Held);
         let Some(adapter) = open.adapter.clone() else {
-            if open.verdict == Some(Verdict::Held) {
+            if held {
                 self.blocked_until = now + CONFLICT_PAUSE;
                 self.open = None;
             }
@@ -285,7 +288,8 @@
         let adapters = self.models.entry(open.model.clone()).or_default();
         match open.action {
             Action::Load => adapters.push(adapter),
-            Action::Unload => adapters.retain(|name| *name != adapter),
+            Action::Unload if held => adapters.retain(|name| *name != adapter),
+            Action::Unload => return,
         }
         self.open = None;
         self.settled = now;
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -386,13 +386,26 @@
         usize::try_from(self.engine.adapter_places).unwrap_or(usize::MAX)
     }
 
+    /// When the adapter of an engine that was not asked for longest was asked for last.
+    fn idlest_asked(&self, account: &Account) -> Time {
+        let held = account.models.iter().flat_map(|(of, adapters)| {
+            adapters
+                .iter()
+                .map(move |adapter| (of.clone(), Some(adapter.clone())))
+        });
+        let asked = held.map(|key| self.planner.work.asked(&key));
+        asked.min().unwrap_or(Time::ZERO)
+    }
+
     /// Brings an adapter to the engine with least to do, or makes a place for it.
     pub fn bring(mut self, model: &Name, adapter: &Name) {
         let free = |account: &&Account| account.free(self.now) && account.holds(model, None);
         let best = self.serving().filter(free).min_by(|one, other| {
             let full = |account: &Account| account.adapters() >= self.places();
             let loads = self.load_of(one).total_cmp(&self.load_of(other));
-            full(one).cmp(&full(other)).then(loads)
+            let idle = self.idlest_asked(one).cmp(&self.idlest_asked(other));
+            let order = full(one).cmp(&full(other));
+            order.then(if full(one) { idle } else { loads })
         });
         let Some(best) = best else {
             return;
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -148,6 +148,27 @@
     assert_eq!(site.engines[&engine].models["m0"].len(), 8);
 }
 
+#[test]
+fn an_adapter_in_use_keeps_its_place_until_the_engine_has_told() {
+    let mut site = Site::new(1, 20, &[&[0]]);
+    for _ in 0..12 {
+        site.step();
+    }
+    let engine = name("e00");
+    let before = site.engines[&engine].models["m0"].len();
+    assert_eq!(before, 8);
+    let wanted = name("a20");
+    let unload = site
+        .planner
+        .place(site.now, &name("m0"), &wanted)
+        .expect_err("nowhere");
+    assert_eq!(unload.expect("a place is made").action, Action::Unload);
+    // The adapter is in use: the engine accepts the order and drops it later.
+    site.planner.answered(site.now, &engine, Verdict::Accepted);
+    let next = site.planner.place(site.now, &name("m0"), &wanted);
+    assert_eq!(next, Err(None), "its place is not free yet");
+}
+
 #[test]
 fn an_older_entry_does_not_free_memory() {
     let mut site = Site::new(5, 0, &[&[0], &[4], &[1, 2, 3]]);
