--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -222,6 +222,16 @@
         }
     }
 
+    /// Models that are there and stay, or are on their way.
+    pub fn counted(&self) -> impl Iterator<Item = &Name> {
+        let held = self.models.keys().filter(|model| self.counts(model));
+        let coming = self.open.as_ref().filter(|open| {
+            let load = open.adapter.is_none() && open.action == Action::Load;
+            load && !self.models.contains_key(&open.model)
+        });
+        held.chain(coming.map(|open| &open.model))
+    }
+
     /// Takes an order that is about to be sent.
     pub fn send(&mut self, now: Time, action: Action, model: Name, adapter: Option<Name>) {
         let after = self.orders.unwrap_or(0);
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -17,16 +17,16 @@
 const BUSY_MS: f64 = 80.0;
 /// Share of the busiest holder's work that the engine of a new copy may have afterwards.
 const BETTER_SHARE: f64 = 0.75;
-/// Loads from the weight store at once; the store slows down beyond a few.
-const LOADS_AT_ONCE: usize = 5;
-/// Unloads at once, to make way.
-const UNLOADS_AT_ONCE: usize = 3;
+/// Least number of models that are unloaded at once, to make way.
+const LEAST_UNLOADS: usize = 3;
 /// Time that a copy stays at least.
 const COPY_STAYS: Duration = Duration::from_secs(4);
 /// Work of an adapter above which it is worth a second engine, in milliseconds a second.
 const BUSY_ADAPTER_MS: f64 = 15.0;
-/// Adapters that are brought to further engines in one plan.
-const ADAPTERS_AT_ONCE: usize = 3;
+/// Least number of adapters that are brought to engines in one plan.
+const LEAST_ADAPTERS: usize = 3;
+/// Engines for each of which one adapter more is brought in one plan.
+const ENGINES_PER_ADAPTER: usize = 12;
 
 /// One look at the engines of a service.
 pub struct Balance<'a> {
@@ -78,15 +78,14 @@
     }
 
     fn survey(&mut self) {
-        let models = self.engine.models.iter().map(|model| &model.name);
-        let count = |model: &Name| {
-            let copies = self
-                .serving()
-                .filter(|account| account.counts(model))
-                .count();
-            u32::try_from(copies).unwrap_or(u32::MAX)
-        };
-        self.copies = models.map(|model| (model.clone(), count(model))).collect();
+        let models = self.engine.models.iter();
+        let mut copies: BTreeMap<Name, u32> = models.map(|model| (model.name.clone(), 0)).collect();
+        for account in self.serving() {
+            for model in account.counted() {
+                *copies.entry(model.clone()).or_default() += 1;
+            }
+        }
+        self.copies = copies;
         let mut holders: BTreeMap<(&Name, &Name), u32> = BTreeMap::new();
         for account in self.serving() {
             for (model, adapters) in &account.models {
@@ -133,6 +132,24 @@
             .count()
     }
 
+    /// Loads that run at once when they begin at the rate that the weight store allows; it
+    /// slows down beyond that.
+    fn loads_at_once(&self) -> usize {
+        let times = self
+            .engine
+            .models
+            .iter()
+            .map(|model| model.load.as_secs_f64());
+        let running = self.engine.loads_per_s * times.fold(0.0, f64::max);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let running = running.round() as usize;
+        running.max(1)
+    }
+
+    fn adapters_at_once(&self) -> usize {
+        LEAST_ADAPTERS + self.load.len() / ENGINES_PER_ADAPTER
+    }
+
     /// Loads every model that is on no engine, the busiest first.
     fn restore(&mut self) {
         let copies = self.copies.iter().filter(|(_, copies)| **copies == 0);
@@ -171,7 +188,7 @@
     /// Loads a model where there is room, on an engine that has at most `bound` to do
     /// afterwards. Returns false if room has to be made first.
     fn load_copy(&mut self, model: &Name, bound: f64, why: &'static str) -> bool {
-        if self.open(Action::Load) >= LOADS_AT_ONCE {
+        if self.open(Action::Load) >= self.loads_at_once() {
             return true;
         }
         let size = self.size(model);
@@ -213,7 +230,7 @@
 
     /// As [`Balance::make_way`], on one of these engines.
     fn make_way_on(&mut self, model: &Name, bound: f64, engines: &[Name]) {
-        if self.open(Action::Unload) >= UNLOADS_AT_ONCE {
+        if self.open(Action::Unload) >= self.loads_at_once().max(LEAST_UNLOADS) {
             return;
         }
         let size = self.size(model);
@@ -306,7 +323,7 @@
     fn spread_adapters(&mut self) {
         let mut brought = 0;
         for (model, adapter, work) in self.planner.work.adapters() {
-            if work < BUSY_ADAPTER_MS || brought >= ADAPTERS_AT_ONCE {
+            if work < BUSY_ADAPTER_MS || brought >= self.adapters_at_once() {
                 return;
             }
             let key = Some(&*adapter);
@@ -340,6 +357,11 @@
     /// Brings adapters that are on no engine to free places, so that their first request
     /// need not wait.
     fn preload_adapters(&mut self) {
+        let places = self.places();
+        let room = |account: &Account| account.free(self.now) && account.adapters() < places;
+        if !self.serving().any(room) {
+            return;
+        }
         let mut held: BTreeSet<(Name, Name)> = BTreeSet::new();
         for account in self.serving() {
             for (model, adapters) in &account.models {
@@ -358,7 +380,7 @@
                     continue;
                 }
                 brought += usize::from(self.preload(&key.0, &key.1));
-                if brought >= ADAPTERS_AT_ONCE {
+                if brought >= self.adapters_at_once() {
                     return;
                 }
             }
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct Work {
     smoothed: BTreeMap<Key, f64>,
+    /// Invariant: sums of `smoothed` by model.
+    totals: BTreeMap<Name, f64>,
     /// Since the last second began.
     fresh: BTreeMap<Key, f64>,
     second: Time,
@@ -49,6 +51,10 @@
             *work += SMOOTHING * (now - *work);
         }
         self.smoothed.retain(|_, work| *work > IDLE_MS);
+        self.totals.clear();
+        for ((model, _), work) in &self.smoothed {
+            *self.totals.entry(model.clone()).or_default() += work;
+        }
     }
 
     /// Work of requests for a model without an adapter.
@@ -58,10 +64,7 @@
 
     /// Work of a model with all its adapters.
     pub fn model(&self, model: &Name) -> f64 {
-        let all = self.smoothed.iter();
-        all.filter(|((of, _), _)| of == model)
-            .map(|(_, work)| work)
-            .sum()
+        self.totals.get(model).copied().unwrap_or(0.0)
     }
 
     /// Work of one key.
