--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -45,7 +45,7 @@
     pub open: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
-    /// Upstreams that take new work.
+    /// Upstreams that are listed.
     pub upstreams: Gauge,
 }
 
@@ -100,7 +100,7 @@
         );
         registry.register(
             "upstreams",
-            "Upstreams that take work",
+            "Upstreams that are listed",
             metrics.upstreams.clone(),
         );
         Self {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -17,7 +17,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Share of the bound for following changes that passes after an answer with changes, in
 /// which further ones gather; the rest is for the next call and its retry.
-const GATHER_SHARE: f64 = 0.45;
+const GATHER_SHARE: f64 = 0.35;
 /// First pause after a call without an answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two tries, so that a service that is back is noticed at once.
@@ -96,6 +96,7 @@
         }
         if !more || after.is_none() {
             forget_unseen(shared, &seen);
+            count_upstreams(shared);
             shared.changed.notify_waiters();
             return Ok(start);
         }
@@ -144,6 +145,7 @@
         remove(shared, key);
     }
     if !(entries.is_empty() && deleted.is_empty()) {
+        count_upstreams(shared);
         shared.changed.notify_waiters();
         time::sleep(shared.settings.bounds.follow.mul_f64(GATHER_SHARE)).await;
     }
@@ -255,6 +257,14 @@
     *shared.holder.borrow_mut() = holder;
 }
 
+fn count_upstreams<D>(shared: &Shared<D>) {
+    let listed = shared.gate.borrow().listed().count();
+    shared
+        .metrics
+        .upstreams
+        .set(i64::try_from(listed).unwrap_or(i64::MAX));
+}
+
 fn count_hosts<D>(shared: &Shared<D>) {
     let hosts = u32::try_from(shared.hosts.borrow().len()).unwrap_or(u32::MAX);
     shared.gate.borrow_mut().set_hosts(hosts);
