--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -147,7 +147,7 @@
                 counted.fetch_add(u32::from(placement), Ordering::Relaxed);
             }
         });
-        host.until(|host| host.status(host.readiness, "/mulberryrack/ready") == 200);
+        host.until(|host| question(host.readiness, "/mulberryrack/ready") == 200);
         host.until(|host| host.store.has("mulberryrack/hosts/"));
         host
     }
@@ -160,11 +160,6 @@
         }
     }
 
-    fn status(&self, address: SocketAddr, path: &str) -> u16 {
-        let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        status(&exchange(address, &text))
-    }
-
     /// Sends a request and returns all that comes back.
     fn ask(&self, method: &str, path: &str, more: &str, body: &str) -> String {
         exchange(self.callers, &request(method, path, more, body))
@@ -195,6 +190,12 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Status of the answer to a question.
+fn question(address: SocketAddr, path: &str) -> u16 {
+    let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    status(&exchange(address, &text))
+}
+
 fn status(answer: &str) -> u16 {
     let word = answer.split(' ').nth(1).unwrap_or("0");
     word.parse().unwrap_or(0)
@@ -426,22 +427,22 @@
 #[test]
 fn a_host_that_is_stopped_leaves_the_addresses_and_finishes_what_it_has() {
     let slow = |request: &Request, stream: &mut TcpStream| {
-        thread::sleep(Duration::from_millis(1_000));
+        thread::sleep(Duration::from_secs(1));
         answer(request, stream);
     };
     let desk = Upstream::start(slow);
     let mut host = Host::start(&[("d0", "desk", &desk)]);
-    let question = "/mulberryrack/resolve?name=shop.example&region=r&zone=a";
-    host.until(|host| host.status(host.directory, question) == 200);
+    let resolve = "/mulberryrack/resolve?name=shop.example&region=r&zone=a";
+    host.until(|host| question(host.directory, resolve) == 200);
     let callers = host.callers;
     let running = thread::spawn(move || exchange(callers, &request("POST", "/book/1", "", "x")));
     desk.requests.recv().expect("it runs");
     host.signal("HUP");
     host.signal("TERM");
     assert_eq!(status(&running.join().expect("an answer")), 200);
-    host.until(|host| host.status(host.readiness, "/mulberryrack/ready") == 503);
+    host.until(|host| question(host.readiness, "/mulberryrack/ready") == 503);
     host.until(|host| !host.store.has("mulberryrack/"));
-    assert_eq!(host.status(host.directory, question), 503);
+    assert_eq!(question(host.directory, resolve), 503);
     // Who still comes with an old answer is served.
     assert_eq!(status(&host.ask("POST", "/book/2", "", "x")), 200);
     assert!(host.child.wait().expect("it ends").success());
--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -18,7 +18,7 @@
 #[derive(Default)]
 struct Items {
     revision: u64,
-    items: BTreeMap<String, (Vec<u8>, u64, u64)>,
+    entries: BTreeMap<String, (Vec<u8>, u64, u64)>,
     /// Every change, as a watch tells of it.
     history: Vec<Value>,
     leases: u64,
@@ -65,7 +65,7 @@
         items.revision += 1;
         let entry = (value, items.revision, lease);
         items.history.push(item(key, &entry));
-        items.items.insert(key.to_owned(), entry);
+        items.entries.insert(key.to_owned(), entry);
         changed.notify_all();
         items.revision
     }
@@ -75,7 +75,7 @@
         let mut items = items.lock().expect("unpoisoned");
         items.revision += 1;
         let revision = items.revision;
-        items.items.remove(key);
+        items.entries.remove(key);
         items
             .history
             .push(json!({ "key": key, "revision": revision, "tombstone": true }));
@@ -84,7 +84,7 @@
 
     pub fn has(&self, prefix: &str) -> bool {
         let items = self.state.0.lock().expect("unpoisoned");
-        items.items.keys().any(|key| key.starts_with(prefix))
+        items.entries.keys().any(|key| key.starts_with(prefix))
     }
 
     fn serve(&self, mut request: Request) {
@@ -127,7 +127,7 @@
     fn range(&self, prefix: &str) -> Value {
         let items = self.state.0.lock().expect("unpoisoned");
         let found = items
-            .items
+            .entries
             .iter()
             .filter(|(key, _)| key.starts_with(prefix));
         let found: Vec<Value> = found.map(|(key, entry)| item(key, entry)).collect();
@@ -153,7 +153,7 @@
         for condition in body["precondition"].as_array().expect("a list") {
             let key = condition["key"].as_str().expect("a key");
             let items = self.state.0.lock().expect("unpoisoned");
-            let found = items.items.get(key);
+            let found = items.entries.get(key);
             if condition["revision"].as_u64() != Some(found.map_or(0, |entry| entry.1)) {
                 let found: Vec<Value> = found.map(|entry| item(key, entry)).into_iter().collect();
                 return (412, json!({ "items": found }));
@@ -173,9 +173,11 @@
         let lease: u64 = lease.parse().expect("a number");
         let keys: Vec<String> = {
             let items = self.state.0.lock().expect("unpoisoned");
-            let held = items.items.iter().filter(|(_, entry)| entry.2 == lease);
+            let held = items.entries.iter().filter(|(_, entry)| entry.2 == lease);
             held.map(|(key, _)| key.clone()).collect()
         };
-        keys.iter().for_each(|key| self.remove(key));
+        for key in &keys {
+            self.remove(key);
+        }
     }
 }
--- a/crates/daemon/tests/site/upstream.rs
+++ b/crates/daemon/tests/site/upstream.rs
@@ -106,9 +106,9 @@
 
 /// Events of a stream, from one id to another.
 pub fn events(first: u32, last: u32) -> String {
-    (first..=last)
-        .map(|id| format!("id: {id}\ndata: token{id}\n\n"))
-        .collect()
+    let event = |id| format!("id: {id}\ndata: token{id}\n\n");
+    let events: Vec<String> = (first..=last).map(event).collect();
+    events.concat()
 }
 
 /// A part of a chunked body.
