Engines that carry out an order of another host get none

Cause: after all hosts were killed, a load of the host before was under way and not listed yet; its engine was left alone for 200 ms only, and then counted as having room. Now it gets no order until it reports that it is at rest.

--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -52,6 +52,8 @@
     pub orders: Option<u64>,
     /// Invariant: at most one order is open.
     pub open: Option<Open>,
+    /// Whether it carries out an order, as last told; it may be another host's.
+    busy: bool,
     /// When it told last what it holds.
     told: Option<Time>,
     /// Until when a conflict keeps it from new orders.
@@ -77,6 +79,7 @@
             entry,
             listed: true,
             open: None,
+            busy: false,
             told: None,
             blocked_until: Time::ZERO,
             settled: Time::ZERO,
@@ -99,7 +102,7 @@
     pub fn unsettled(&self, now: Time) -> bool {
         let old = self.told.is_none_or(|told| now.since(told) > TOLD_EVERY);
         let unknown = old || self.orders.is_none() || self.room.len() > self.models.len();
-        self.open.is_some() || (unknown && self.blocked_until <= now)
+        self.open.is_some() || self.busy || (unknown && self.blocked_until <= now)
     }
 
     /// The model that it was ordered to load.
@@ -111,7 +114,8 @@
 
     /// Whether it can be given an order.
     pub fn free(&self, now: Time) -> bool {
-        self.open.is_none() && self.orders.is_some() && self.blocked_until <= now
+        let at_rest = self.open.is_none() && !self.busy;
+        at_rest && self.orders.is_some() && self.blocked_until <= now
     }
 
     /// Forgets what another host's orders may have changed.
@@ -148,9 +152,7 @@
         if report.born != 0 && self.entry.born != 0 && report.born != self.entry.born {
             return;
         }
-        if report.busy && self.open.is_none() {
-            self.blocked_until = now + CONFLICT_PAUSE;
-        }
+        self.busy = report.busy;
         let older = self.orders.is_some_and(|known| report.orders < known);
         if older && now.since(self.settled) < WORD_LAG {
             return;
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -169,6 +169,35 @@
     assert_eq!(next, Err(None), "its place is not free yet");
 }
 
+#[test]
+fn an_engine_that_carries_out_an_order_of_another_host_gets_none() {
+    let mut site = Site::new(4, 0, &[&[0, 1]]);
+    site.planner.take_over(site.now);
+    let engine = name("e00");
+    // A load of the host before is under way; its model is not listed yet.
+    let busy = Report {
+        busy: true,
+        orders: 1,
+        ..site.report(&engine)
+    };
+    for _ in 0..10 {
+        site.now = site.now + Duration::from_secs(1);
+        site.planner.report(site.now, &engine, &busy);
+        for _ in 0..4 {
+            site.now = site.now + Duration::from_millis(300);
+            assert!(
+                site.planner.plan(site.now).is_empty(),
+                "its room may be taken"
+            );
+            assert_eq!(
+                site.planner.unsettled(site.now).count(),
+                1,
+                "it is asked again"
+            );
+        }
+    }
+}
+
 #[test]
 fn an_older_entry_does_not_free_memory() {
     let mut site = Site::new(5, 0, &[&[0], &[4], &[1, 2, 3]]);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -87,6 +87,8 @@
 const MIN_RETURN_MS: f64 = 300.0;
 const MAX_RETURN_MS: f64 = 2_000.0;
 
+/// Last rank that engines know.
+const LEAST_URGENT: u8 = 9;
 /// Pause before a stream that was broken off is looked at again.
 const RESUME_PAUSE: Duration = Duration::from_millis(150);
 
@@ -320,30 +322,51 @@
             }
             return self.without_upstream(now, pass);
         };
-        let again = pass.sent.contains(&offer.id);
+        match self.bar(now, pass, &offer) {
+            Some(step) => step,
+            None => Step::Send(self.commit(now, pass, &offer, candidates, retry)),
+        }
+    }
+
+    /// Why a request may not go to the upstream that was chosen for it now.
+    fn bar(&mut self, now: Time, pass: &mut Pass, offer: &Offer) -> Option<Step> {
         let most = usize::try_from(pass.route.max_attempts).unwrap_or(usize::MAX);
-        if !again && pass.sent.len() >= most {
-            if pass.begun {
-                pass.avoid.retain(|id| !pass.sent.contains(id));
-                pass.avoid.push(offer.id);
-                return Step::Hold(now + RESUME_PAUSE);
-            }
-            return give_up(pass, Reason::UpstreamRefused, Some(TURNED_AWAY));
+        let one_too_many = !pass.sent.contains(&offer.id) && pass.sent.len() >= most;
+        if one_too_many && pass.begun {
+            // It may go on where it was before.
+            pass.avoid.retain(|id| !pass.sent.contains(id));
+            pass.avoid.push(offer.id);
+            return Some(Step::Hold(now + RESUME_PAUSE));
         }
-        if let Some(step) = self.pace_entry(now, pass, &offer) {
-            return step;
+        if one_too_many {
+            let refused = give_up(pass, Reason::UpstreamRefused, Some(TURNED_AWAY));
+            return Some(refused);
         }
-        if !self.charge(now, pass) {
-            if pass.begun {
-                return Step::Hold(now + RESUME_PAUSE);
-            }
-            return give_up(pass, Reason::RetryBudget, Some(TURNED_AWAY));
+        if let Some(step) = self.pace_entry(now, pass, offer) {
+            return Some(step);
         }
-        if !again {
+        if self.charge(now, pass) {
+            return None;
+        }
+        if pass.begun {
+            return Some(Step::Hold(now + RESUME_PAUSE));
+        }
+        Some(give_up(pass, Reason::RetryBudget, Some(TURNED_AWAY)))
+    }
+
+    /// Counts a request at its upstream and says where that is.
+    fn commit(
+        &mut self,
+        now: Time,
+        pass: &mut Pass,
+        offer: &Offer,
+        candidates: usize,
+        retry: Option<Retry>,
+    ) -> Target {
+        if !pass.sent.contains(&offer.id) {
             pass.sent.push(offer.id);
         }
         let known = self.upstreams.get_mut(offer.id);
-        let backlog_ms = known.reads_until.since(now).as_secs_f64() * 1_000.0;
         known.running += 1;
         if !pass.chain.links.is_empty() {
             let links: Vec<u64> = pass.chain.links.iter().map(|link| link.0).collect();
@@ -354,21 +377,18 @@
                 links,
             });
         }
-        Step::Send(Target {
+        let generates = pass.ask.generation.is_some();
+        Target {
             id: offer.id,
             name: known.entry.id.clone(),
             address: known.entry.address,
-            urgency: pass
-                .ask
-                .generation
-                .is_some()
-                .then_some(pass.route.priority.min(9)),
+            urgency: generates.then_some(pass.route.priority.min(LEAST_URGENT)),
             load: known.load.map(|(load, at, _)| (load, now.since(at))),
             read_ms: offer.read_ms,
-            backlog_ms,
+            backlog_ms: offer.backlog_ms,
             candidates,
             retry,
-        })
+        }
     }
 
     /// Keeps a first send back while its engine has much to read, and refuses it where it
