--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -3,7 +3,7 @@
 
 use crate::socket;
 use bytes::Bytes;
-use http::{Request, Response, response};
+use http::{HeaderValue, Request, Response, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
@@ -109,6 +109,22 @@
             },
         }
     }
+
+    /// Sends a request and reads the whole of a short answer; the connection is kept.
+    ///
+    /// # Errors
+    ///
+    /// How it failed; after [`Fault::NotSent`] the other side has certainly done nothing.
+    pub async fn exchange(mut self, mut request: Request<Bytes>) -> Result<Response<Bytes>, Fault> {
+        let host = self.peer.address.to_string();
+        let value = HeaderValue::from_str(&host).expect("an address is plain text");
+        request.headers_mut().insert(header::HOST, value);
+        let (head, body) = self.send(request).await?;
+        let body = Limited::new(body, LARGEST_ANSWER).collect().await;
+        let body = body.map_err(|_| Fault::Broken)?.to_bytes();
+        self.keep(None);
+        Ok(Response::from_parts(head, body))
+    }
 }
 
 impl Client {
@@ -189,19 +205,12 @@
     pub async fn call(
         self: &Rc<Self>,
         peer: Peer,
-        mut request: Request<Bytes>,
+        request: Request<Bytes>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, Fault> {
-        let host = peer.address.to_string();
-        let value = http::HeaderValue::from_str(&host).expect("an address is plain text");
-        request.headers_mut().insert(http::header::HOST, value);
         let whole = async {
-            let mut connection = self.connect(peer, false).await?;
-            let (head, body) = connection.send(request).await?;
-            let body = Limited::new(body, LARGEST_ANSWER).collect().await;
-            let body = body.map_err(|_| Fault::Broken)?.to_bytes();
-            connection.keep(None);
-            Ok(Response::from_parts(head, body))
+            let connection = self.connect(peer, false).await?;
+            connection.exchange(request).await
         };
         time::timeout(timeout, whole)
             .await
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -165,7 +165,7 @@
         name: wish.engine.clone(),
     };
     let connected = shared.client.connect(peer, false).await;
-    let Ok(mut connection) = connected else {
+    let Ok(connection) = connected else {
         return Verdict::NotSent;
     };
     let now = shared.clock.now();
@@ -186,17 +186,8 @@
         holder: shared.settings.host.clone(),
         fence,
     };
-    let mut request = shared.dialect.order_call(&order);
-    let host = address.to_string();
-    let value = http::HeaderValue::from_str(&host).expect("an address is plain text");
-    request.headers_mut().insert(http::header::HOST, value);
-    let answer = time::timeout(CALL_TIMEOUT, async {
-        let (head, body) = connection.send(request).await?;
-        let body = http_body_util::BodyExt::collect(body).await;
-        let body = body.map_err(|_| Fault::Broken)?.to_bytes();
-        connection.keep(None);
-        Ok(http::Response::from_parts(head, body))
-    });
+    let request = shared.dialect.order_call(&order);
+    let answer = time::timeout(CALL_TIMEOUT, connection.exchange(request));
     match answer.await.unwrap_or(Err(Fault::Silent)) {
         Ok(answer) => shared.dialect.order_answer(&answer),
         Err(Fault::NotSent) => Verdict::NotSent,
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -44,14 +44,10 @@
         name: format!("m{index}").into(),
         weights_mb: WEIGHTS_MB,
         load: Duration::from_secs(4),
-        warm_load: Duration::from_millis(400),
         adapters,
         adapter_mb: 50.0,
     };
     let engine = Engine {
-        slots: 64,
-        event_tokens: 5,
-        cache_tokens: 270_000,
         weights_mb: 220_000.0,
         adapter_places: PLACES,
         loads_per_s: 1.4,
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -1,12 +1,12 @@
 //! Which of several upstreams gets a request.
 
 use crate::{
+    cache::Chain,
     gate::Gate,
     pass::Pass,
     upstreams::{Known, UpstreamId},
 };
 use mulberryrack_core::{Time, hash};
-use mulberryrack_site::ask::Generation;
 use rand::RngExt;
 
 /// What an upstream costs a request, in milliseconds of its time to the first event.
@@ -47,7 +47,6 @@
 
     /// The cheapest of the candidates; those that rest only if no other is left.
     pub(crate) fn choose(&mut self, now: Time, pass: &Pass) -> (Option<Offer>, usize) {
-        let generation = pass.ask.generation.as_ref();
         let candidates: Vec<UpstreamId> = self.candidates(now, pass).collect();
         let count = candidates.len();
         let awake = |id: &UpstreamId| self.upstreams.get(*id).rests_until <= now;
@@ -57,7 +56,7 @@
         } else {
             rested
         };
-        let home = generation.and_then(|it| self.home(it, &pool));
+        let home = self.home(&pass.chain, &pool);
         let offers: Vec<Offer> = pool
             .iter()
             .map(|&id| self.offer(now, id, pass, home == Some(id)))
@@ -69,31 +68,24 @@
     }
 
     /// The engine on which all hosts expect the shared parts of a prompt.
-    fn home(&self, generation: &Generation, pool: &[UpstreamId]) -> Option<UpstreamId> {
-        let shared = generation.parts.split_last()?.1;
-        let mut item = generation.model.to_string();
-        item.push_str(generation.adapter.as_deref().unwrap_or_default());
-        for part in shared {
-            item.push_str(&part.id.to_string());
-        }
+    fn home(&self, chain: &Chain, pool: &[UpstreamId]) -> Option<UpstreamId> {
+        let [.., (shared, _), _own] = chain.links[..] else {
+            return None;
+        };
         let weight = |id: &UpstreamId| {
             let name = &self.upstreams.get(*id).entry.id;
-            hash::rendezvous(&item, name, 1.0)
+            hash::stable(name.as_bytes(), shared)
         };
-        pool.iter()
-            .copied()
-            .max_by(|one, other| weight(one).total_cmp(&weight(other)))
+        pool.iter().copied().max_by_key(weight)
     }
 
     fn offer(&mut self, now: Time, id: UpstreamId, pass: &Pass, home: bool) -> Offer {
         let jitter = self.rng.random_range(0.0..self.tuning.jitter_ms);
         let known = self.upstreams.get(id);
         let Some(generation) = &pass.ask.generation else {
-            let slots = f64::from(known.entry.slots.max(1));
-            let load = known.estimate(self.hosts) / slots;
             return Offer {
                 id,
-                cost: load * self.tuning.run_ms * slots + jitter,
+                cost: known.estimate(self.hosts) * self.tuning.run_ms + jitter,
                 backlog_ms: 0.0,
                 read_ms: 0.0,
             };
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -35,14 +35,10 @@
         name: name.into(),
         weights_mb: 70_000.0,
         load: ms(4_000),
-        warm_load: ms(400),
         adapters: 4,
         adapter_mb: 50.0,
     };
     let engine = Engine {
-        slots: 64,
-        event_tokens: 5,
-        cache_tokens: 270_000,
         weights_mb: 220_000.0,
         adapter_places: 8,
         loads_per_s: 1.4,
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -85,12 +85,6 @@
 /// What each model engine of a service can hold.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
-    /// Tokens in one event of a stream.
-    pub event_tokens: u32,
-    /// Tokens that an engine's cache holds.
-    pub cache_tokens: u64,
     /// Megabytes for weights and adapters together.
     pub weights_mb: f64,
     /// Most adapters on one engine, those on their way included.
@@ -118,8 +112,6 @@
     pub weights_mb: f64,
     /// Time of a load from the weight store when few others run.
     pub load: Duration,
-    /// Time of a load from the engine's host memory.
-    pub warm_load: Duration,
     /// Number of adapters.
     pub adapters: u32,
     /// Megabytes of each adapter.
