Idle models make way for crowded ones and come back when they are asked for

A site asks for about six models at a time; the last copies of all the others filled 26 of 36 places (33 of 54 on the other site), so a crowded model found no engine to go to. Engines keep the weights of six models at hand and load those in 0.4 to 0.8 s, not counted by the weight store.

Ruled out: too slow a demand report (orders came, and found no room); the rate of the weight store (5 to 7 loads in a window that allows 10).

Change: the last copy of a model that was not asked for in 8 s may be unloaded for a model that takes more than half of an engine; requests for a model that is nowhere ask the planner at once, as those for adapters did; what made way returns while nothing is crowded. Engines with the weights at hand are preferred.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -141,7 +141,7 @@
                     }
                 }
                 Step::Place(until) => {
-                    self.ask_for_placement(pass, link);
+                    self.ask_for_placement(now, pass, link);
                     let wake = self.shared.clock.instant(until.min(now + PLACE_CHECK));
                     tokio::select! {
                         () = changed => {}
@@ -155,16 +155,17 @@
         }
     }
 
-    fn ask_for_placement(&self, pass: &Pass, link: &Rc<Link>) {
-        let generation = pass.ask.generation.as_ref();
-        let Some((model, adapter)) =
-            generation.and_then(|it| Some((&it.model, it.adapter.as_ref()?)))
-        else {
-            // Models are placed by the planner on its own account.
+    fn ask_for_placement(&self, now: Time, pass: &Pass, link: &Rc<Link>) {
+        let Some(generation) = &pass.ask.generation else {
             return;
         };
+        let model = generation.model.clone();
+        // An adapter can only be brought to where its model is.
+        let adapter = generation.adapter.clone();
+        let held = self.shared.gate.borrow().held(now, &model);
+        let adapter = adapter.filter(|_| held);
         let (shared, link) = (self.shared.clone(), link.clone());
-        task::spawn_local(peers::place(shared, link, model.clone(), adapter.clone()));
+        task::spawn_local(peers::place(shared, link, model, adapter));
     }
 
     fn took(&self, pass: &Pass) -> Duration {
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -25,7 +25,7 @@
 const TICKS_PER_ROUND: u32 = 2;
 /// Time for an engine to answer an order or a question.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time for which a request waits at the planner for its adapter.
+/// Time for which a request waits at the planner for its model or adapter.
 const PLACE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause before a placement is looked at again.
 const PLACE_PAUSE: Duration = Duration::from_millis(15);
@@ -195,15 +195,22 @@
     }
 }
 
-/// Has an adapter placed, and returns the engines that hold it.
-pub async fn place<D: Dialect>(shared: Rc<Shared<D>>, model: Name, adapter: Name) -> Vec<Name> {
+/// Has a model or adapter placed, and returns the engines that hold it.
+pub async fn place<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    model: Name,
+    adapter: Option<Name>,
+) -> Vec<Name> {
     let until = Instant::now() + PLACE_TIMEOUT;
     while Instant::now() < until {
         let now = shared.clock.now();
         if shared.claim.borrow().stand(now) != Stand::Holds {
             return Vec::new();
         }
-        let found = shared.planner.borrow_mut().place(now, &model, &adapter);
+        let found = {
+            let mut planner = shared.planner.borrow_mut();
+            planner.place(now, &model, adapter.as_ref())
+        };
         match found {
             Ok(engines) => return engines,
             Err(Some(wish)) => give(shared.clone(), wish).await,
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,4 +1,4 @@
-//! Calls between hosts: demand, and adapters that requests wait for.
+//! Calls between hosts: demand, and models and adapters that requests wait for.
 
 use crate::{journal::journal, orders, shared::Shared};
 use mulberryrack_core::Name;
@@ -26,7 +26,7 @@
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Time for the other host to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause before an adapter is asked for again.
+/// Pause before a placement is asked for again.
 const PLACE_AGAIN: Duration = Duration::from_millis(150);
 /// Calls that wait for the host's thread.
 const CALLS: usize = 64;
@@ -36,7 +36,7 @@
 /// A call of another host, with where its answer goes.
 enum Call {
     Report(Vec<Demand>, oneshot::Sender<bool>),
-    Place(Name, Name, oneshot::Sender<Vec<Name>>),
+    Place(Name, Option<Name>, oneshot::Sender<Vec<Name>>),
 }
 
 /// Hands calls over to the thread that decides.
@@ -76,7 +76,8 @@
     async fn place(&self, request: Request<plan::Place>) -> Result<Response<plan::Placed>, Status> {
         let plan::Place { model, adapter } = request.into_inner();
         let (answer, placed) = oneshot::channel();
-        let call = Call::Place(model.into(), adapter.into(), answer);
+        let adapter = (!adapter.is_empty()).then(|| adapter.into());
+        let call = Call::Place(model.into(), adapter, answer);
         let engines = self.ask(call, placed).await?;
         let engines = engines.iter().map(ToString::to_string).collect();
         Ok(Response::new(plan::Placed { engines }))
@@ -114,8 +115,8 @@
 #[derive(Default)]
 pub struct Link {
     channel: RefCell<Option<(SocketAddr, Channel)>>,
-    /// Adapters that were asked for and not answered yet.
-    asking: RefCell<BTreeSet<(Name, Name)>>,
+    /// Models and adapters that were asked for and not answered yet.
+    asking: RefCell<BTreeSet<(Name, Option<Name>)>>,
 }
 
 impl Link {
@@ -190,19 +191,24 @@
     }
 }
 
-/// Has an adapter placed, unless that is under way. Waiting requests are told when the
-/// answer is there.
-pub async fn place<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<Link>, model: Name, adapter: Name) {
+/// Has a model or adapter placed, unless that is under way. Waiting requests are told when
+/// the answer is there.
+pub async fn place<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    link: Rc<Link>,
+    model: Name,
+    adapter: Option<Name>,
+) {
     let key = (model.clone(), adapter.clone());
     if !link.asking.borrow_mut().insert(key.clone()) {
         return;
     }
-    let engines = ask(&shared, &link, &model, &adapter).await;
+    let engines = ask(&shared, &link, &model, adapter.as_ref()).await;
     journal!(
         info,
-        "adapter-placed",
+        "placed",
         model = model,
-        adapter = adapter,
+        adapter = adapter.as_deref().unwrap_or("-"),
         engines = engines.len()
     );
     let now = shared.clock.now();
@@ -210,7 +216,7 @@
         let change = Change {
             upstream: engine,
             model: model.clone(),
-            adapter: Some(adapter.clone()),
+            adapter: adapter.clone(),
             present: true,
         };
         shared.gate.borrow_mut().change(now, &change);
@@ -225,20 +231,20 @@
     shared: &Rc<Shared<D>>,
     link: &Link,
     model: &Name,
-    adapter: &Name,
+    adapter: Option<&Name>,
 ) -> Vec<Name> {
     let Some((seat, _)) = shared.holder.borrow().clone() else {
         return Vec::new();
     };
     if seat.host == shared.settings.host {
-        return orders::place(shared.clone(), model.clone(), adapter.clone()).await;
+        return orders::place(shared.clone(), model.clone(), adapter.cloned()).await;
     }
     let Some(channel) = link.channel(seat.peers) else {
         return Vec::new();
     };
     let message = plan::Place {
         model: model.to_string(),
-        adapter: adapter.to_string(),
+        adapter: adapter.map(ToString::to_string).unwrap_or_default(),
     };
     match PlannerClient::new(channel).place(message).await {
         Ok(placed) => placed
@@ -250,7 +256,7 @@
         Err(error) => {
             journal!(
                 warn,
-                "adapter-not-asked",
+                "placement-not-asked",
                 planner = seat.host,
                 error = error.code()
             );
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -17,6 +17,15 @@
 const BUSY_MS: f64 = 80.0;
 /// Share of the busiest holder's work that the engine of a new copy may have afterwards.
 const BETTER_SHARE: f64 = 0.75;
+/// Work of a copy above which idle models make way for a further one, in milliseconds a
+/// second: from about half of an engine on, prompts wait for one another.
+const CROWDED_MS: f64 = 500.0;
+/// What an engine that has to load from the weight store is charged beside one that has
+/// the weights at hand, in milliseconds of work a second: the copy comes seconds later.
+const FAR_MS: f64 = 150.0;
+/// What the last copy of an idle model is charged beside a copy that another one can stand
+/// in for, in milliseconds of work a second.
+const LAST_MS: f64 = 30.0;
 /// Least number of models that are unloaded at once, to make way.
 const LEAST_UNLOADS: usize = 3;
 /// Time that a copy stays at least.
@@ -67,6 +76,7 @@
     pub fn run(mut self) {
         self.restore();
         self.spread();
+        self.return_dormant();
         self.level();
         self.spread_adapters();
         self.preload_adapters();
@@ -150,19 +160,60 @@
         LEAST_ADAPTERS + self.load.len() / ENGINES_PER_ADAPTER
     }
 
-    /// Loads every model that is on no engine, the busiest first.
-    fn restore(&mut self) {
-        let copies = self.copies.iter().filter(|(_, copies)| **copies == 0);
-        let mut missing: Vec<Name> = copies.map(|(model, _)| model.clone()).collect();
+    /// Whether a model without work can be back soon after it is asked for: an engine has
+    /// its weights at hand.
+    fn dormant(&self, model: &Name) -> bool {
+        let at_hand = |account: &Account| account.entry.at_hand.contains(model);
+        self.planner.work.idle(self.now, model) && self.serving().any(at_hand)
+    }
+
+    /// Models that are on no engine, the busiest first.
+    fn missing(&self, dormant: bool) -> Vec<Name> {
+        let missing = self.copies.iter().filter(|(_, copies)| **copies == 0);
+        let missing = missing.map(|(model, _)| model.clone());
+        let mut missing: Vec<Name> = missing
+            .filter(|model| self.dormant(model) == dormant)
+            .collect();
         let work = |model: &Name| self.planner.work.model(model);
         missing.sort_by(|one, other| work(other).total_cmp(&work(one)));
-        for model in missing {
+        missing
+    }
+
+    /// Loads models that are on no engine, unless they are dormant.
+    fn restore(&mut self) {
+        for model in self.missing(false) {
             if !self.load_copy(&model, f64::INFINITY, "no-copy") {
-                self.make_way(&model, f64::INFINITY);
+                let idle = self.planner.work.idle(self.now, &model);
+                self.make_way(&model, f64::INFINITY, !idle);
             }
         }
     }
 
+    /// Loads dormant models while no model is crowded, so that their next request need
+    /// not wait.
+    fn return_dormant(&mut self) {
+        let share = |(model, copies): (&Name, &u32)| {
+            self.planner.work.model(model) / f64::from((*copies).max(1))
+        };
+        let most = self.copies.iter().map(share).fold(0.0, f64::max);
+        if most >= CROWDED_MS || self.open(Action::Load) > 0 || self.open(Action::Unload) > 0 {
+            return;
+        }
+        let Some(model) = self.missing(true).into_iter().next() else {
+            return;
+        };
+        if !self.load_copy(&model, f64::INFINITY, "dormant") {
+            self.make_way(&model, BUSY_MS, false);
+        }
+    }
+
+    /// Loads a model that a request waits for.
+    pub fn fetch(mut self, model: &Name) {
+        if self.copies_of(model) == 0 && !self.load_copy(model, f64::INFINITY, "asked") {
+            self.make_way(model, f64::INFINITY, true);
+        }
+    }
+
     /// Adds a copy of the models whose copies have most to do.
     fn spread(&mut self) {
         let work = &self.planner.work;
@@ -173,14 +224,14 @@
             .filter(|(_, share)| *share >= BUSY_MS)
             .collect();
         busy.sort_by(|one, other| other.1.total_cmp(&one.1));
-        for (model, _) in busy {
+        for (model, share) in busy {
             let holders = self.serving().filter(|account| account.holds(&model, None));
             let busiest = holders
                 .map(|account| self.load_of(account))
                 .fold(0.0, f64::max);
             let bound = busiest * BETTER_SHARE;
             if !self.load_copy(&model, bound, "busy") {
-                self.make_way(&model, bound);
+                self.make_way(&model, bound, share >= CROWDED_MS);
             }
         }
     }
@@ -221,15 +272,16 @@
         true
     }
 
-    /// Unloads the copy that is missed least, of a model with another copy, on an engine
-    /// that has at most `bound` to do once `model` is there.
-    fn make_way(&mut self, model: &Name, bound: f64) {
+    /// Unloads the copy that is missed least on an engine that has at most `bound` to do
+    /// once `model` is there: of a model with another copy, or with `last` also the last
+    /// one of an idle model that can be back soon.
+    fn make_way(&mut self, model: &Name, bound: f64, last: bool) {
         let all: Vec<Name> = self.load.keys().cloned().collect();
-        self.make_way_on(model, bound, &all);
+        self.make_way_on(model, bound, last, &all);
     }
 
     /// As [`Balance::make_way`], on one of these engines.
-    fn make_way_on(&mut self, model: &Name, bound: f64, engines: &[Name]) {
+    fn make_way_on(&mut self, model: &Name, bound: f64, last: bool, engines: &[Name]) {
         if self.open(Action::Unload) >= self.loads_at_once().max(LEAST_UNLOADS) {
             return;
         }
@@ -241,24 +293,35 @@
             if !named || !account.free(self.now) || account.counts(model) {
                 continue;
             }
+            let far = if account.entry.at_hand.contains(model) {
+                0.0
+            } else {
+                FAR_MS
+            };
             for held in account.models.keys() {
                 let copies = self.copies_of(held);
+                let yields = copies == 1 && last && self.yields(account, held);
                 let frees = if self.size(held).is_finite() {
                     self.size(held)
                 } else {
                     0.0
                 };
                 let fresh = self.now.since(account.arrived(held)) < COPY_STAYS;
-                if copies < 2 || fresh || account.free_mb(self.engine) + frees < size {
+                if !(copies >= 2 || yields) || fresh || account.free_mb(self.engine) + frees < size
+                {
                     continue;
                 }
                 let work = self.planner.work.model(held);
                 // What its other copies get, and what the engine has to do then.
-                let passed_on = work / f64::from(copies - 1);
-                let left = self.load_of(account) - work / f64::from(copies);
+                let passed_on = match copies {
+                    0 | 1 => LAST_MS,
+                    _ => work / f64::from(copies - 1),
+                };
+                let left = self.load_of(account) - work / f64::from(copies.max(1));
                 let cost = passed_on.max(left + added);
-                if cost <= bound && best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                    best = Some((cost, account.entry.id.clone(), held.clone()));
+                let charged = cost + far;
+                if cost <= bound && best.as_ref().is_none_or(|(least, ..)| charged < *least) {
+                    best = Some((charged, account.entry.id.clone(), held.clone()));
                 }
             }
         }
@@ -268,10 +331,19 @@
         }
     }
 
-    /// Models of which an engine has the only copy.
+    /// Whether an engine that has the last copy of a model can drop it: the model is idle,
+    /// and the engine can load it again from what it has at hand.
+    fn yields(&self, account: &Account, model: &Name) -> bool {
+        self.planner.work.idle(self.now, model) && account.entry.at_hand.contains(model)
+    }
+
+    /// Models of which an engine has the only copy, and cannot drop it.
     fn only_copies<'b>(&'b self, account: &'b Account) -> impl Iterator<Item = &'b Name> {
         let models = account.models.keys();
-        models.filter(|model| self.copies_of(model) == 1 && account.counts(model))
+        models.filter(|model| {
+            let only = self.copies_of(model) == 1 && account.counts(model);
+            only && !self.yields(account, model)
+        })
     }
 
     /// Copies an idle model from the engine with most only copies to one with fewer, so
@@ -316,7 +388,7 @@
             .filter(|account| fewer(account) && account.free(self.now))
             .map(|account| account.entry.id.clone())
             .collect();
-        self.make_way_on(&model, bound, &homes);
+        self.make_way_on(&model, bound, false, &homes);
     }
 
     /// Brings busy adapters to further copies of their model.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -105,6 +105,7 @@
             .map(|(_, engine)| engine.loads_per_s);
         let rate = rates.fold(0.0, f64::max);
         self.window.inherit(now, self.window_span, rate);
+        self.work.begin(now);
         for account in self.engines.values_mut() {
             account.doubt();
         }
@@ -142,7 +143,7 @@
         wishes
     }
 
-    /// Engines that hold an adapter.
+    /// Engines that hold a model, with the adapter where one is given.
     ///
     /// # Errors
     ///
@@ -151,13 +152,13 @@
         &mut self,
         now: Time,
         model: &Name,
-        adapter: &Name,
+        adapter: Option<&Name>,
     ) -> Result<Vec<Name>, Option<Wish>> {
-        self.work.ask(now, (model.clone(), Some(adapter.clone())));
+        self.work.ask(now, (model.clone(), adapter.cloned()));
         let holders: Vec<Name> = self
             .engines
             .values()
-            .filter(|account| account.serves() && account.holds(model, Some(adapter)))
+            .filter(|account| account.serves() && account.holds(model, adapter.map(|it| &**it)))
             .map(|account| account.entry.id.clone())
             .collect();
         if !holders.is_empty() {
@@ -165,7 +166,14 @@
         }
         let mut wishes = Vec::new();
         for (service, engine) in self.services() {
-            balance::Balance::new(self, now, &service, &engine, &mut wishes).bring(model, adapter);
+            if engine.model(model).is_none() {
+                continue;
+            }
+            let balance = balance::Balance::new(self, now, &service, &engine, &mut wishes);
+            match adapter {
+                Some(adapter) => balance.bring(model, adapter),
+                None => balance.fetch(model),
+            }
         }
         Err(wishes.pop())
     }
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -7,6 +7,9 @@
 const SMOOTHING: f64 = 0.5;
 /// Work below which a model or adapter counts as idle, in milliseconds a second.
 const IDLE_MS: f64 = 0.5;
+/// Time without a request after which a model counts as idle: a few times the pause
+/// between requests for the users' rarest models that are asked for at all.
+const IDLE_AFTER: Duration = Duration::from_secs(8);
 
 /// A model, or an adapter of it.
 pub type Key = (Name, Option<Name>);
@@ -21,20 +24,37 @@
     fresh: BTreeMap<Key, f64>,
     second: Time,
     asked: BTreeMap<Key, Time>,
+    /// When a model was asked for last, with or without an adapter.
+    models_asked: BTreeMap<Name, Time>,
+    /// Since when what is asked for is known.
+    began: Time,
 }
 
 impl Work {
     /// Takes requests for a model or adapter.
     pub fn take(&mut self, now: Time, key: Key, millis: f64) {
-        self.asked.insert(key.clone(), now);
+        self.ask(now, key.clone());
         *self.fresh.entry(key).or_default() += millis;
     }
 
-    /// Notes that an adapter was asked for.
+    /// Notes that a model or adapter was asked for.
     pub fn ask(&mut self, now: Time, key: Key) {
+        self.models_asked.insert(key.0.clone(), now);
         self.asked.insert(key, now);
     }
 
+    /// What is asked for is told from now on.
+    pub fn begin(&mut self, now: Time) {
+        self.began = now;
+    }
+
+    /// Whether a model has no work and was not asked for lately.
+    pub fn idle(&self, now: Time, model: &Name) -> bool {
+        let asked = self.models_asked.get(model).copied();
+        let known = asked.unwrap_or(self.began).max(self.began);
+        self.model(model) <= 0.0 && now.since(known) > IDLE_AFTER
+    }
+
     /// Smooths the figures once a second.
     pub fn age(&mut self, now: Time) {
         let passed = now.since(self.second);
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fake {
     pub models: BTreeMap<Name, BTreeSet<Name>>,
+    /// Models whose weights it can load without the weight store.
+    pub disk: BTreeSet<Name>,
     pub orders: u64,
     pub born: u64,
     pub writes: u64,
@@ -89,7 +91,7 @@
         slots: 64,
         state: State::Ready,
         models: held(fake),
-        at_hand: Vec::new(),
+        at_hand: fake.disk.iter().cloned().collect(),
     }
 }
 
@@ -118,6 +120,15 @@
         site
     }
 
+    /// Lets engines keep the weights of what they hold.
+    pub fn with_disks(mut self) -> Self {
+        for fake in self.engines.values_mut() {
+            fake.disk.extend(fake.models.keys().cloned());
+        }
+        self.tell();
+        self
+    }
+
     /// Tells the planner what the engines hold.
     pub fn tell(&mut self) {
         for (id, fake) in &self.engines {
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -48,6 +48,59 @@
     assert!(site.copies("m3") >= 3, "copies: {}", site.copies("m3"));
 }
 
+/// Two engines full of models of which m0 is crowded, and which models had demand.
+fn crowded(asked: &[&str]) -> Site {
+    let mut site = Site::new(6, 0, &[&[0, 1, 2], &[3, 4, 5]]).with_disks();
+    for _ in 0..15 {
+        site.demand("m0", None, 900.0);
+        for model in asked {
+            site.demand(model, None, 20.0);
+        }
+        site.step();
+    }
+    site
+}
+
+#[test]
+fn an_idle_model_makes_way_for_a_crowded_one_and_comes_back_when_it_is_asked_for() {
+    let mut site = crowded(&["m1", "m2", "m3"]);
+    assert_eq!(site.copies("m0"), 2, "{:?}", site.engines);
+    let gone = ["m4", "m5"].map(name);
+    let gone = gone.iter().find(|model| site.copies(model) == 0);
+    let gone = gone.expect("one of the idle models made way").clone();
+    for _ in 0..4 {
+        site.demand("m0", None, 900.0);
+        if let Err(Some(wish)) = site.planner.place(site.now, &gone, None) {
+            site.carry_out(&wish);
+            let accepted = Verdict::Accepted;
+            site.planner.answered(site.now, &wish.engine, accepted);
+        }
+        site.tell();
+    }
+    assert_eq!(site.copies(&gone), 1, "{:?}", site.engines);
+    let placed = site.planner.place(site.now, &gone, None);
+    assert_eq!(placed, Ok(vec![name("e01")]));
+}
+
+#[test]
+fn a_model_that_is_asked_for_keeps_its_last_copy_beside_a_crowded_one() {
+    let site = crowded(&["m1", "m2", "m3", "m4", "m5"]);
+    for model in 0..6 {
+        assert_eq!(site.copies(&format!("m{model}")), 1, "m{model}");
+    }
+}
+
+#[test]
+fn an_idle_model_that_made_way_returns_to_free_room() {
+    let mut site = crowded(&["m1", "m2", "m3"]);
+    for _ in 0..25 {
+        site.step();
+    }
+    for model in 0..6 {
+        assert!(site.copies(&format!("m{model}")) >= 1, "m{model}");
+    }
+}
+
 #[test]
 fn only_copies_are_spread_so_that_every_engine_can_help() {
     let placed: [&[usize]; 4] = [&[1, 2, 3], &[4, 5, 6], &[0], &[0]];
@@ -111,7 +164,7 @@
     for _ in 0..4 {
         site.now = site.now + Duration::from_secs(1);
         site.tell();
-        match site.planner.place(site.now, &name("m1"), &adapter) {
+        match site.planner.place(site.now, &name("m1"), Some(&adapter)) {
             Ok(engines) => return assert_eq!(engines, [name("e00")]),
             Err(Some(wish)) => {
                 site.carry_out(&wish);
@@ -160,12 +213,12 @@
     let wanted = name("a20");
     let unload = site
         .planner
-        .place(site.now, &name("m0"), &wanted)
+        .place(site.now, &name("m0"), Some(&wanted))
         .expect_err("nowhere");
     assert_eq!(unload.expect("a place is made").action, Action::Unload);
     // The adapter is in use: the engine accepts the order and drops it later.
     site.planner.answered(site.now, &engine, Verdict::Accepted);
-    let next = site.planner.place(site.now, &name("m0"), &wanted);
+    let next = site.planner.place(site.now, &name("m0"), Some(&wanted));
     assert_eq!(next, Err(None), "its place is not free yet");
 }
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -215,6 +215,13 @@
         }
     }
 
+    /// Whether some engine that takes new work has a model.
+    #[must_use]
+    pub fn held(&self, now: Time, model: &str) -> bool {
+        let mut all = self.upstreams.iter();
+        all.any(|(_, known)| known.serves() && known.holds(now, model, None))
+    }
+
     /// Entries of the upstreams that are listed now.
     pub fn listed(&self) -> impl Iterator<Item = &Upstream> {
         let listed = self.upstreams.iter().filter(|(_, known)| known.listed);
