A host that does not reach the store has its lease renewed by another one

Change: a renewal without an answer is made by another host; while the own one fails both are made at once. A host that is cut off keeps its seat and the claim.

Test: two hosts, the store falls silent for one of them; its lease goes on being renewed. Without the change the test fails.

--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -30,6 +30,7 @@
 
 /// A running host; killed when dropped.
 struct Host {
+    name: String,
     child: Child,
     callers: SocketAddr,
     directory: SocketAddr,
@@ -132,6 +133,7 @@
             field.expect(key).parse().expect("an address")
         };
         let host = Self {
+            name: format!("h{number}"),
             callers: address("callers="),
             directory: address("directory="),
             readiness: address("readiness="),
@@ -143,7 +145,7 @@
         let counted = host.placements.clone();
         thread::spawn(move || {
             for line in log.map_while(Result::ok) {
-                let placement = line.contains("event=adapter-placed");
+                let placement = line.contains("event=placed");
                 counted.fetch_add(u32::from(placement), Ordering::Relaxed);
             }
         });
@@ -404,6 +406,25 @@
     host.until(|host| status(&host.ask("POST", "/order/1", "", "x")) == 200);
 }
 
+#[test]
+fn a_host_that_does_not_reach_the_store_has_its_lease_renewed_by_another() {
+    let first = Host::start(&[]);
+    let second = Host::start_with(first.store.another());
+    let key = format!("mulberryrack/hosts/{}", first.name);
+    // By then the first host knows of the second.
+    let resolve = request(
+        "GET",
+        "/mulberryrack/resolve?name=x&region=r&zone=a",
+        "",
+        "",
+    );
+    let known = second.callers.to_string();
+    second.until(|_| exchange(first.directory, &resolve).contains(&known));
+    first.store.silent.store(true, Ordering::Relaxed);
+    let before = first.store.renewals(&key);
+    second.until(|_| first.store.renewals(&key) > before + 2);
+}
+
 #[test]
 fn an_adapter_that_cannot_be_placed_is_asked_for_at_a_bounded_rate() {
     let engine = Upstream::start(answer);
--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -22,6 +22,8 @@
     /// Every change, as a watch tells of it.
     history: Vec<Value>,
     leases: u64,
+    /// Renewals of each lease.
+    renewals: BTreeMap<u64, u32>,
 }
 
 /// The service, and a way to write into it as the operator and engines do.
@@ -39,10 +41,19 @@
 
 impl Store {
     pub fn start() -> Self {
+        Self::open(Arc::default())
+    }
+
+    /// The same service at another address, with a silence of its own.
+    pub fn another(&self) -> Self {
+        Self::open(self.state.clone())
+    }
+
+    fn open(state: Arc<(Mutex<Items>, Condvar)>) -> Self {
         let server = Server::http("127.0.0.1:0").expect("a free port");
         let store = Self {
             address: server.server_addr().to_ip().expect("an IP address"),
-            state: Arc::default(),
+            state,
             silent: Arc::default(),
         };
         let serving = store.clone();
@@ -87,6 +98,13 @@
         items.entries.keys().any(|key| key.starts_with(prefix))
     }
 
+    /// Answered renewals of the lease under which a key lies.
+    pub fn renewals(&self, key: &str) -> u32 {
+        let items = self.state.0.lock().expect("unpoisoned");
+        let lease = items.entries.get(key).map_or(0, |entry| entry.2);
+        items.renewals.get(&lease).copied().unwrap_or_default()
+    }
+
     fn serve(&self, mut request: Request) {
         let silent = self.silent.load(Ordering::Relaxed);
         let mut body = String::new();
@@ -107,7 +125,14 @@
                 items.leases += 1;
                 (200, json!({ "lease": items.leases, "ttl-ms": 3_000 }))
             }
-            Some("kv-keep") => (200, json!({ "ttl-ms": 3_000 })),
+            Some("kv-keep") => {
+                let lease = call.rsplit('/').next().expect("an id");
+                let mut items = self.state.0.lock().expect("unpoisoned");
+                let lease = lease.parse().expect("a number");
+                let answered = u32::from(!silent);
+                *items.renewals.entry(lease).or_default() += answered;
+                (200, json!({ "ttl-ms": 3_000 }))
+            }
             Some("kv-lease-end") => {
                 self.end_lease(call.rsplit('/').next().expect("an id"));
                 (200, json!({}))
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     journal::journal,
+    peers,
     seat::{CLAIM, SEATS, Seat},
     shared::{Phase, Shared},
 };
 use bytes::Bytes;
 use mulberryrack_core::{
     hash,
-    kv::{Lease, Op, Reply, Revision},
+    kv::{Fault, Lease, Op, Reply, Revision},
 };
 use mulberryrack_fleet::Stand;
 use mulberryrack_site::Dialect;
@@ -67,14 +68,14 @@
         grant(shared, tenancy).await;
         return;
     };
-    let renewed = shared.store.call(&Op::Renew { lease }).await;
-    if renewed.is_ok() && tenancy.unanswered {
+    let (reached, renewed) = renew(shared, tenancy, lease).await;
+    if reached && tenancy.unanswered {
         shared.store_back.notify_waiters();
     }
-    tenancy.unanswered = renewed.is_err();
+    tenancy.unanswered = !reached;
     match renewed {
-        Ok(Reply::Renewed(true)) => shared.claim.borrow_mut().renewed(sent),
-        Ok(_) => {
+        Ok(true) => shared.claim.borrow_mut().renewed(sent),
+        Ok(false) => {
             journal!(warn, "lease-lost", lease = lease.0);
             shared.claim.borrow_mut().lost();
             *tenancy = Tenancy::default();
@@ -87,6 +88,40 @@
     }
 }
 
+/// Renews the lease, and has another host do it while the key-value service does not answer
+/// this one. Returns whether it answered this one, and whether the lease is in force.
+async fn renew<D: Dialect>(
+    shared: &Shared<D>,
+    tenancy: &Tenancy,
+    lease: Lease,
+) -> (bool, Result<bool, Fault>) {
+    let op = Op::Renew { lease };
+    let own = shared.store.call(&op);
+    let (own, by_peer) = if tenancy.unanswered {
+        tokio::join!(own, peers::renew(shared, lease))
+    } else {
+        let own = own.await;
+        let by_peer = match own {
+            Ok(_) => None,
+            Err(_) => peers::renew(shared, lease).await,
+        };
+        (own, by_peer)
+    };
+    match (own, by_peer) {
+        (Ok(reply), _) => (true, Ok(reply == Reply::Renewed(true))),
+        (Err(_), Some(in_force)) => {
+            journal!(
+                info,
+                "lease-renewed-by-peer",
+                lease = lease.0,
+                in_force = in_force
+            );
+            (false, Ok(in_force))
+        }
+        (Err(fault), None) => (false, Err(fault)),
+    }
+}
+
 async fn grant<D: Dialect>(shared: &Shared<D>, tenancy: &mut Tenancy) {
     let ttl = LEASE.max(shared.settings.lease_min);
     match shared.store.call(&Op::Grant { ttl }).await {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,7 +1,10 @@
 //! Calls between hosts: demand, and models and adapters that requests wait for.
 
-use crate::{journal::journal, orders, shared::Shared};
-use mulberryrack_core::Name;
+use crate::{journal::journal, orders, seat::Seat, shared::Shared};
+use mulberryrack_core::{
+    Name,
+    kv::{Lease, Op, Reply},
+};
 use mulberryrack_fleet::Demand;
 use mulberryrack_gate::Change;
 use mulberryrack_site::Dialect;
@@ -26,6 +29,8 @@
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Time for the other host to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for another host to renew a lease; the key-value service answers in milliseconds.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause before a placement is asked for again.
 const PLACE_AGAIN: Duration = Duration::from_millis(150);
 /// Calls that wait for the host's thread.
@@ -37,6 +42,7 @@
 enum Call {
     Report(Vec<Demand>, oneshot::Sender<bool>),
     Place(Name, Option<Name>, oneshot::Sender<Vec<Name>>),
+    Renew(Lease, oneshot::Sender<Option<bool>>),
 }
 
 /// Hands calls over to the thread that decides.
@@ -82,6 +88,19 @@
         let engines = engines.iter().map(ToString::to_string).collect();
         Ok(Response::new(plan::Placed { engines }))
     }
+
+    async fn renew(
+        &self,
+        request: Request<plan::Lease>,
+    ) -> Result<Response<plan::Renewed>, Status> {
+        let lease = Lease(request.into_inner().id);
+        let (answer, renewed) = oneshot::channel();
+        let in_force = self.ask(Call::Renew(lease, answer), renewed).await?;
+        Ok(Response::new(plan::Renewed {
+            answered: in_force.is_some(),
+            in_force: in_force.unwrap_or_default(),
+        }))
+    }
 }
 
 /// Serves the calls of other hosts until the process ends.
@@ -107,6 +126,17 @@
                     drop(answer.send(engines));
                 });
             }
+            Call::Renew(lease, answer) => {
+                let shared = shared.clone();
+                task::spawn_local(async move {
+                    let renewed = shared.store.call(&Op::Renew { lease }).await;
+                    let in_force = match renewed {
+                        Ok(reply) => Some(reply == Reply::Renewed(true)),
+                        Err(_) => None,
+                    };
+                    let _gone = answer.send(in_force);
+                });
+            }
         }
     }
 }
@@ -191,6 +221,44 @@
     }
 }
 
+/// Has another host renew a lease, for one that does not reach the key-value service.
+/// Returns whether the lease is in force; `None` if the other host does not know either.
+pub async fn renew<D: Dialect>(shared: &Shared<D>, lease: Lease) -> Option<bool> {
+    let other = {
+        let hosts = shared.hosts.borrow();
+        let me = &shared.settings.host;
+        let others: Vec<&Seat> = hosts
+            .values()
+            .map(|(seat, _)| seat)
+            .filter(|seat| seat.host != *me)
+            .collect();
+        // Another one each time: the one before may be cut off as well.
+        let turn = usize::try_from(shared.clock.now().as_micros()).unwrap_or_default();
+        others.get(turn % others.len().max(1)).copied().cloned()?
+    };
+    let endpoint = Endpoint::from_shared(format!("http://{}", other.peers)).ok()?;
+    let channel = endpoint
+        .timeout(RENEW_TIMEOUT)
+        .connect_timeout(RENEW_TIMEOUT)
+        .connect_lazy();
+    let message = plan::Lease { id: lease.0 };
+    match PlannerClient::new(channel).renew(message).await {
+        Ok(renewed) => {
+            let renewed = renewed.into_inner();
+            renewed.answered.then_some(renewed.in_force)
+        }
+        Err(error) => {
+            journal!(
+                warn,
+                "lease-not-renewed-by-peer",
+                host = other.host,
+                error = error.code()
+            );
+            None
+        }
+    }
+}
+
 /// Has a model or adapter placed, unless that is under way. Waiting requests are told when
 /// the answer is there.
 pub async fn place<D: Dialect>(
