Orders go on through an outage of the store while all hosts vouch for the holder

Change: the holder asks all others every 180 ms; it goes on while each says that the store has not answered it since the lease may have lapsed, or refuses the connection. The word holds for 0.7 s, and the wait of the next holder is 0.6 s longer for it. A planner that gives no orders says so, and requests for what is nowhere are then refused at once.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -13,7 +13,7 @@
     shared::{Phase, Shared},
     socket,
     store::Store,
-    watch,
+    vouch, watch,
 };
 use mulberryrack_core::{Time, hash};
 use mulberryrack_fleet::{Claim, Planner};
@@ -138,6 +138,7 @@
     task::spawn_local(watch::run(shared.clone()));
     task::spawn_local(orders::run(shared.clone()));
     task::spawn_local(peers::report(shared.clone(), link));
+    task::spawn_local(vouch::run(shared.clone()));
     task::spawn_local(sweep(shared.clone()));
     let membership = task::spawn_local(membership::run(shared.clone()));
     journal!(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod shared;
 mod socket;
 mod store;
+mod vouch;
 mod watch;
 
 pub use host::run;
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -195,29 +195,30 @@
     }
 }
 
-/// Has a model or adapter placed, and returns the engines that hold it.
+/// Has a model or adapter placed, and returns the engines that hold it; `None` if this host
+/// gives no orders now.
 pub async fn place<D: Dialect>(
     shared: Rc<Shared<D>>,
     model: Name,
     adapter: Option<Name>,
-) -> Vec<Name> {
+) -> Option<Vec<Name>> {
     let until = Instant::now() + PLACE_TIMEOUT;
     while Instant::now() < until {
         let now = shared.clock.now();
         if shared.claim.borrow().stand(now) != Stand::Holds {
-            return Vec::new();
+            return None;
         }
         let found = {
             let mut planner = shared.planner.borrow_mut();
             planner.place(now, &model, adapter.as_ref())
         };
         match found {
-            Ok(engines) => return engines,
+            Ok(engines) => return Some(engines),
             Err(Some(wish)) => give(shared.clone(), wish).await,
             Err(None) => time::sleep(PLACE_PAUSE).await,
         }
     }
-    Vec::new()
+    Some(Vec::new())
 }
 
 /// Takes what a host was asked for.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,6 +1,6 @@
 //! Calls between hosts: demand, and models and adapters that requests wait for.
 
-use crate::{journal::journal, orders, seat::Seat, shared::Shared};
+use crate::{journal::journal, orders, seat::Seat, shared::Shared, vouch};
 use mulberryrack_core::{
     Name,
     kv::{Lease, Op, Reply},
@@ -41,8 +41,9 @@
 /// A call of another host, with where its answer goes.
 enum Call {
     Report(Vec<Demand>, oneshot::Sender<bool>),
-    Place(Name, Option<Name>, oneshot::Sender<Vec<Name>>),
+    Place(Name, Option<Name>, oneshot::Sender<Option<Vec<Name>>>),
     Renew(Lease, oneshot::Sender<Option<bool>>),
+    Vouch(oneshot::Sender<plan::Contact>),
 }
 
 /// Hands calls over to the thread that decides.
@@ -85,8 +86,16 @@
         let adapter = (!adapter.is_empty()).then(|| adapter.into());
         let call = Call::Place(model.into(), adapter, answer);
         let engines = self.ask(call, placed).await?;
+        let planner = engines.is_some();
+        let engines = engines.unwrap_or_default();
         let engines = engines.iter().map(ToString::to_string).collect();
-        Ok(Response::new(plan::Placed { engines }))
+        Ok(Response::new(plan::Placed { engines, planner }))
+    }
+
+    async fn vouch(&self, _: Request<plan::Question>) -> Result<Response<plan::Contact>, Status> {
+        let (answer, contact) = oneshot::channel();
+        let contact = self.ask(Call::Vouch(answer), contact).await?;
+        Ok(Response::new(contact))
     }
 
     async fn renew(
@@ -126,6 +135,7 @@
                     drop(answer.send(engines));
                 });
             }
+            Call::Vouch(answer) => drop(answer.send(vouch::contact(&shared))),
             Call::Renew(lease, answer) => {
                 let shared = shared.clone();
                 task::spawn_local(async move {
@@ -271,15 +281,21 @@
     if !link.asking.borrow_mut().insert(key.clone()) {
         return;
     }
-    let engines = ask(&shared, &link, &model, adapter.as_ref()).await;
+    let placed = ask(&shared, &link, &model, adapter.as_ref()).await;
+    let planner = placed.is_some();
+    let engines = placed.unwrap_or_default();
     journal!(
         info,
         "placed",
         model = model,
         adapter = adapter.as_deref().unwrap_or("-"),
+        planner = planner,
         engines = engines.len()
     );
     let now = shared.clock.now();
+    if !planner {
+        shared.gate.borrow_mut().set_unplanned(now);
+    }
     for engine in engines {
         let change = Change {
             upstream: engine,
@@ -300,27 +316,22 @@
     link: &Link,
     model: &Name,
     adapter: Option<&Name>,
-) -> Vec<Name> {
-    let Some((seat, _)) = shared.holder.borrow().clone() else {
-        return Vec::new();
-    };
+) -> Option<Vec<Name>> {
+    let (seat, _) = shared.holder.borrow().clone()?;
     if seat.host == shared.settings.host {
         return orders::place(shared.clone(), model.clone(), adapter.cloned()).await;
     }
-    let Some(channel) = link.channel(seat.peers) else {
-        return Vec::new();
-    };
+    let channel = link.channel(seat.peers)?;
     let message = plan::Place {
         model: model.to_string(),
         adapter: adapter.map(ToString::to_string).unwrap_or_default(),
     };
     match PlannerClient::new(channel).place(message).await {
-        Ok(placed) => placed
-            .into_inner()
-            .engines
-            .iter()
-            .map(|it| it.as_str().into())
-            .collect(),
+        Ok(placed) => {
+            let plan::Placed { engines, planner } = placed.into_inner();
+            let engines = engines.iter().map(|it| it.as_str().into());
+            planner.then(|| engines.collect())
+        }
         Err(error) => {
             journal!(
                 warn,
@@ -329,7 +340,7 @@
                 error = error.code()
             );
             link.forget();
-            Vec::new()
+            None
         }
     }
 }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -6,7 +6,8 @@
 };
 use mulberryrack_core::kv;
 use mulberryrack_site::Dialect;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::Instant;
 
 /// Time for an answer; a store in order answers in milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -17,6 +18,8 @@
     client: Rc<Client>,
     peer: Peer,
     metrics: Rc<Metrics>,
+    /// When the service answered last.
+    answered: Cell<Option<Instant>>,
 }
 
 impl<D: Dialect> Store<D> {
@@ -30,9 +33,15 @@
                 name: "".into(),
             },
             metrics,
+            answered: Cell::new(None),
         }
     }
 
+    /// Time since the service answered last; `None` if it never has.
+    pub fn unreached(&self) -> Option<Duration> {
+        self.answered.get().map(|answered| answered.elapsed())
+    }
+
     /// Makes a call.
     ///
     /// # Errors
@@ -53,6 +62,9 @@
             Err(Fault::NotSent) => Err(kv::Fault::NotApplied),
             Err(Fault::Broken | Fault::Silent) => Err(kv::Fault::Unknown),
         };
+        if outcome.is_ok() {
+            self.answered.set(Some(Instant::now()));
+        }
         self.metrics.store_call(op.label(), outcome.is_ok());
         outcome
     }
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -3,9 +3,12 @@
 use mulberryrack_core::{Time, kv::Revision};
 use std::time::Duration;
 
-/// Added to the time that two holders must be apart, for orders that are still on their
-/// way.
-const APART_MARGIN: Duration = Duration::from_millis(200);
+/// Added to the time that two holders must be apart: for orders that are still on their
+/// way, and for a holder that goes on through an outage until it hears of its end.
+const APART_MARGIN: Duration = Duration::from_millis(800);
+/// Time for which the word of all other hosts holds that none reaches the key-value
+/// service; with [`LEASE_MARGIN`] below [`APART_MARGIN`].
+const VOUCHED: Duration = Duration::from_millis(700);
 /// Kept back from the lease's time, for the way of an order to its engine.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -37,6 +40,8 @@
     renewed: Time,
     /// When the wait for the holder before is over.
     orders_from: Time,
+    /// When the other hosts were asked last that all have vouched.
+    vouched: Option<Time>,
 }
 
 impl Claim {
@@ -57,6 +62,7 @@
             revision,
             renewed: sent,
             orders_from: now + self.apart + APART_MARGIN,
+            vouched: None,
         });
     }
 
@@ -67,6 +73,20 @@
         }
     }
 
+    /// When the lease under the claim may lapse; `None` without a claim.
+    #[must_use]
+    pub fn lapses(&self) -> Option<Time> {
+        self.held.map(|held| held.renewed + self.ttl)
+    }
+
+    /// All other hosts, asked at `asked`, have not reached the key-value service since the
+    /// lease may have lapsed: nobody else can have gained the claim.
+    pub fn vouched(&mut self, asked: Time) {
+        if let Some(held) = &mut self.held {
+            held.vouched = Some(asked);
+        }
+    }
+
     /// The claim is another host's, or nobody's.
     pub fn lost(&mut self) {
         self.held = None;
@@ -78,7 +98,11 @@
         let Some(held) = self.held else {
             return Stand::None;
         };
-        if now + LEASE_MARGIN >= held.renewed + self.ttl {
+        let leased = now + LEASE_MARGIN < held.renewed + self.ttl;
+        let vouched = held
+            .vouched
+            .is_some_and(|asked| now + LEASE_MARGIN < asked + VOUCHED);
+        if !leased && !vouched {
             return Stand::None;
         }
         if now < held.orders_from {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -71,6 +71,9 @@
 const COME_BACK: Duration = Duration::from_secs(1);
 /// Wait before a request that an upstream turned away is to be sent again.
 const TURNED_AWAY: Duration = Duration::from_millis(100);
+/// Time for which the word holds that nobody gives orders; a tenth of the time that the
+/// next holder of the claim has to wait.
+const UNPLANNED: Duration = Duration::from_millis(400);
 /// Time without which sending a request is of no use.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
@@ -138,8 +141,10 @@
     pub(crate) tuning: Tuning,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) upstreams: Upstreams,
-    /// Whether some host gives orders.
+    /// Whether some host has the claim to give orders.
     planned: bool,
+    /// Until when that host is known to give none.
+    unplanned_until: Time,
     /// Hosts that share the load and the budget; at least one.
     pub(crate) hosts: u32,
     config: Option<Arc<Config>>,
@@ -160,6 +165,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             upstreams: Upstreams::default(),
             planned: false,
+            unplanned_until: Time::ZERO,
             hosts: 1,
             config: None,
             budgets: BTreeMap::new(),
@@ -212,6 +218,11 @@
         self.planned = planned;
     }
 
+    /// The host that has the claim gives no orders now; asked again after a while.
+    pub fn set_unplanned(&mut self, now: Time) {
+        self.unplanned_until = now + UNPLANNED;
+    }
+
     /// Sets how many hosts share the load.
     pub fn set_hosts(&mut self, hosts: u32) {
         self.hosts = hosts.max(1);
@@ -489,7 +500,8 @@
             engine.is_some_and(|engine| engine.model(&it.model).is_some())
         });
         let until = pass.arrived + pass.route.objective.mul_f64(self.tuning.place_share);
-        if placeable && self.planned && !pass.may_have_run && now < until {
+        let planned = self.planned && now >= self.unplanned_until;
+        if placeable && planned && !pass.may_have_run && now < until {
             return Step::Place(until);
         }
         let reason = if placeable {
--- a/crates/gate/tests/steps.rs
+++ b/crates/gate/tests/steps.rs
@@ -155,6 +155,13 @@
         },
     );
     assert_eq!(&*target(gate.step(NOW, &mut pass, None)).name, "e2");
+    let elsewhere = || ask("/stream/x", Some(generation("m1", 1, 100)));
+    gate.unlist("e2");
+    gate.set_unplanned(NOW);
+    let (_, step) = start(&mut gate, NOW, elsewhere());
+    assert_eq!(refusal(step).reason, Reason::NoCopy);
+    let (_, step) = start(&mut gate, NOW + ms(500), elsewhere());
+    assert!(matches!(step, Step::Place(_)));
     gate.set_planned(false);
     let mut unknown = wanted();
     unknown.generation = Some(generation("m9", 1, 100));
