--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -1,53 +1,27 @@
 //! A host on the users' platform as a process, between callers, upstreams and a stand-in
 //! for the platform's key-value service.
 
+#[path = "site/host.rs"]
+mod host;
 #[path = "site/store.rs"]
 mod store;
 #[path = "site/upstream.rs"]
 mod upstream;
 
+use host::{Host, exchange, question, status};
 use serde_json::{Value, json};
 use std::{
     fs,
-    io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpStream},
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
-    },
+    io::{Read, Write},
+    net::TcpStream,
+    process::Command,
+    sync::atomic::Ordering,
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 use store::Store;
 use upstream::{Request, Upstream, answer, chunk, events, head};
 
-/// Hosts started by this test process, for names of files.
-static STARTED: AtomicU32 = AtomicU32::new(0);
-
-/// Time after which a test gives up; shorter than a watch of the host waits.
-const TEST_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// A running host; killed when dropped.
-struct Host {
-    name: String,
-    child: Child,
-    callers: SocketAddr,
-    directory: SocketAddr,
-    readiness: SocketAddr,
-    store: Store,
-    /// Lines of its log since its start.
-    log: Arc<Mutex<Vec<String>>>,
-}
-
-impl Drop for Host {
-    fn drop(&mut self) {
-        // It has ended already where a test stops it.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn config(version: u64, timeout_ms: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, resumable: bool| {
         json!({
@@ -86,98 +60,26 @@
     })
 }
 
-impl Host {
-    /// Starts a host whose key-value service has these upstreams, and waits until it is
-    /// ready.
-    fn start(upstreams: &[(&str, &str, &Upstream)]) -> Self {
-        let store = Store::start();
-        store.write("op/config", &config(1, 3_000));
-        for (id, service, upstream) in upstreams {
-            store.write(&format!("servers/{id}"), &entry(service, upstream, "ready"));
-        }
-        // What another writer left is nobody's upstream and harms no other.
-        store.put("servers/torn", b"\xff{".to_vec(), 0);
-        store.write(
-            "servers/odd",
-            &json!({ "service-name": 7, "state": "asleep" }),
-        );
-        Self::start_with(store)
-    }
-
-    fn start_with(store: Store) -> Self {
-        let number = STARTED.fetch_add(1, Ordering::Relaxed);
-        let file = format!("mulberryrack-site-{}-{number}.ini", std::process::id());
-        let path = std::env::temp_dir().join(file);
-        let text = format!(
-            "[host]\nname = h{number}\ndata_centre = a\nip = 127.0.0.1\n\
-             caller_address = 127.0.0.1:0\nreadiness_address = 127.0.0.1:0\n\
-             directory_address = 127.0.0.1:0\npeer_port = 0\nmetrics_port = 0\n\
-             descriptors = 400\n[store]\naddress = {}\n[bounds]\ngrace_s = 6\n",
-            store.address
-        );
-        fs::write(&path, text).expect("a writable directory");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_mulberryrackd"))
-            .args(["site", "--config"])
-            .arg(&path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the binary starts");
-        let mut log = BufReader::new(child.stdout.take().expect("a pipe")).lines();
-        let started = log.find_map(|line| {
-            let line = line.expect("text");
-            line.contains("event=started").then_some(line)
-        });
-        let started = started.expect("the host starts");
-        let address = |key: &str| {
-            let field = started.split(' ').find_map(|field| field.strip_prefix(key));
-            field.expect(key).parse().expect("an address")
-        };
-        let host = Self {
-            name: format!("h{number}"),
-            callers: address("callers="),
-            directory: address("directory="),
-            readiness: address("readiness="),
-            child,
-            store,
-            log: Arc::default(),
-        };
-        // The log is read on so that the host never waits for it.
-        let kept = host.log.clone();
-        thread::spawn(move || {
-            for line in log.map_while(Result::ok) {
-                kept.lock().expect("unpoisoned").push(line);
-            }
-        });
-        host.until(|host| question(host.readiness, "/mulberryrack/ready") == 200);
-        host.until(|host| host.store.has("mulberryrack/hosts/"));
-        host
-    }
-
-    /// Lines of its log that have a text.
-    fn logged(&self, text: &str) -> usize {
-        let log = self.log.lock().expect("unpoisoned");
-        log.iter().filter(|line| line.contains(text)).count()
-    }
-
-    fn until(&self, what: impl Fn(&Self) -> bool) {
-        let end = Instant::now() + TEST_TIMEOUT;
-        while !what(self) {
-            assert!(Instant::now() < end, "it did not come about");
-            thread::sleep(Duration::from_millis(20));
-        }
-    }
-
-    /// Sends a request and returns all that comes back.
-    fn ask(&self, method: &str, path: &str, more: &str, body: &str) -> String {
-        exchange(self.callers, &request(method, path, more, body))
+/// Starts a host whose key-value service has these upstreams, and waits until it is
+/// ready.
+fn start(upstreams: &[(&str, &str, &Upstream)]) -> Host {
+    let store = Store::start();
+    store.write("op/config", &config(1, 3_000));
+    for (id, service, upstream) in upstreams {
+        store.write(&format!("servers/{id}"), &entry(service, upstream, "ready"));
     }
+    // What another writer left is nobody's upstream and harms no other.
+    store.put("servers/torn", b"\xff{".to_vec(), 0);
+    store.write(
+        "servers/odd",
+        &json!({ "service-name": 7, "state": "asleep" }),
+    );
+    Host::start_with(store)
+}
 
-    fn signal(&self, name: &str) {
-        let kill = Command::new("kill")
-            .args(["-s", name, &self.child.id().to_string()])
-            .status();
-        assert!(kill.expect("the command runs").success());
-    }
+/// Sends a request and returns all that comes back.
+fn ask(host: &Host, method: &str, path: &str, more: &str, body: &str) -> String {
+    exchange(host.callers, &request(method, path, more, body))
 }
 
 fn request(method: &str, path: &str, more: &str, body: &str) -> String {
@@ -188,35 +90,15 @@
     )
 }
 
-fn exchange(address: SocketAddr, text: &str) -> String {
-    let mut stream = TcpStream::connect(address).expect("a listener");
-    stream.write_all(text.as_bytes()).expect("a connection");
-    let mut answer = Vec::new();
-    // A connection that is broken off ends with an error; what came before counts.
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
-}
-
-/// Status of the answer to a question.
-fn question(address: SocketAddr, path: &str) -> u16 {
-    let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    status(&exchange(address, &text))
-}
-
-fn status(answer: &str) -> u16 {
-    let word = answer.split(' ').nth(1).unwrap_or("0");
-    word.parse().unwrap_or(0)
-}
-
 const MODEL: &str = "Model: m\r\nToken-Counts: 10,5\r\nPrompt-Prefix: 1:10\r\n";
 
 #[test]
 fn a_request_is_passed_on_without_what_only_the_system_sets() {
     let desk = Upstream::start(answer);
-    let host = Host::start(&[("d0", "desk", &desk)]);
+    let host = start(&[("d0", "desk", &desk)]);
     let more = "Hold: x\r\nPin-Ms: 5\r\nKv-From: 1.2.3.4:5/6\r\nTarget-Instance: other\r\n\
                 X-Own: kept\r\nTransfer: no\r\n";
-    let answer = host.ask("POST", "/book/1?a=b", more, "order");
+    let answer = ask(&host, "POST", "/book/1?a=b", more, "order");
     assert_eq!(status(&answer), 200);
     assert!(answer.to_lowercase().contains("response-signature: sig"));
     assert!(answer.ends_with("whole") && !answer.to_lowercase().contains("instance-load"));
@@ -239,8 +121,8 @@
 #[test]
 fn what_has_no_route_or_no_sense_is_refused_by_the_host() {
     let desk = Upstream::start(answer);
-    let host = Host::start(&[("d0", "desk", &desk)]);
-    assert_eq!(status(&host.ask("GET", "/nowhere/", "", "")), 404);
+    let host = start(&[("d0", "desk", &desk)]);
+    assert_eq!(status(&ask(&host, "GET", "/nowhere/", "", "")), 404);
     assert_eq!(
         status(&exchange(
             host.callers,
@@ -249,11 +131,11 @@
         400
     );
     assert_eq!(
-        status(&host.ask("POST", "/book/", "", &"x".repeat(10_001))),
+        status(&ask(&host, "POST", "/book/", "", &"x".repeat(10_001))),
         413
     );
     let long = format!("X-Long: {}\r\n", "x".repeat(20_000));
-    assert_eq!(status(&host.ask("GET", "/look/", &long, "")), 431);
+    assert_eq!(status(&ask(&host, "GET", "/look/", &long, "")), 431);
     assert!(desk.seen().is_empty());
 }
 
@@ -264,10 +146,10 @@
         let _ = stream.write_all(text.as_bytes());
     };
     let (one, two) = (Upstream::start(cut), Upstream::start(cut));
-    let host = Host::start(&[("d0", "desk", &one), ("d1", "desk", &two)]);
-    assert_eq!(status(&host.ask("POST", "/book/1", "", "x")), 502);
+    let host = start(&[("d0", "desk", &one), ("d1", "desk", &two)]);
+    assert_eq!(status(&ask(&host, "POST", "/book/1", "", "x")), 502);
     assert_eq!(one.seen().len() + two.seen().len(), 1);
-    assert_eq!(status(&host.ask("GET", "/look/1", "", "")), 502);
+    assert_eq!(status(&ask(&host, "GET", "/look/1", "", "")), 502);
     assert_eq!(
         one.seen().len() + two.seen().len(),
         2,
@@ -282,8 +164,8 @@
         answer(&request, stream);
     };
     let desk = Upstream::start(other);
-    let host = Host::start(&[("d0", "desk", &desk)]);
-    let answer = host.ask("POST", "/book/1", "", "x");
+    let host = start(&[("d0", "desk", &desk)]);
+    let answer = ask(&host, "POST", "/book/1", "", "x");
     assert_eq!(status(&answer), 502);
     assert!(!answer.contains("whole") && !answer.contains("sig"));
 }
@@ -294,8 +176,8 @@
         let _ = stream.write_all(b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     };
     let desk = Upstream::start(full);
-    let host = Host::start(&[("d0", "desk", &desk)]);
-    let answer = host.ask("POST", "/book/1", "", "x");
+    let host = start(&[("d0", "desk", &desk)]);
+    let answer = ask(&host, "POST", "/book/1", "", "x");
     assert_eq!(status(&answer), 503);
     assert!(answer.to_lowercase().contains("retry-after: "));
 }
@@ -318,8 +200,8 @@
         let _ = stream.write_all(text.as_bytes());
     };
     let (one, two) = (Upstream::start(script), Upstream::start(script));
-    let host = Host::start(&[("e0", "llm", &one), ("e1", "llm", &two)]);
-    let answer = host.ask("POST", "/draft/1", MODEL, "prompt");
+    let host = start(&[("e0", "llm", &one), ("e1", "llm", &two)]);
+    let answer = ask(&host, "POST", "/draft/1", MODEL, "prompt");
     assert_eq!(status(&answer), 200);
     for id in 1..=6 {
         assert_eq!(
@@ -339,8 +221,8 @@
         let _ = stream.write_all(text.as_bytes());
     };
     let engine = Upstream::start(torn);
-    let host = Host::start(&[("e0", "llm", &engine)]);
-    let answer = host.ask("POST", "/draft/1", MODEL, "prompt");
+    let host = start(&[("e0", "llm", &engine)]);
+    let answer = ask(&host, "POST", "/draft/1", MODEL, "prompt");
     assert!(answer.contains("token3") && !answer.ends_with("0\r\n\r\n"));
 }
 
@@ -358,7 +240,7 @@
         let _ = TcpStream::connect(request.header("x-tell"));
     };
     let engine = Upstream::start(endless);
-    let host = Host::start(&[("e0", "llm", &engine)]);
+    let host = start(&[("e0", "llm", &engine)]);
     let told = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let tell = told.local_addr().expect("an address");
     let mut stream = TcpStream::connect(host.callers).expect("a listener");
@@ -379,26 +261,26 @@
 #[test]
 fn a_route_that_was_added_is_served_and_an_upstream_that_leaves_gets_nothing() {
     let (one, two) = (Upstream::start(answer), Upstream::start(answer));
-    let host = Host::start(&[("d0", "desk", &one), ("d1", "desk", &two)]);
+    let host = start(&[("d0", "desk", &one), ("d1", "desk", &two)]);
     let mut leaving = entry("desk", &one, "draining");
     leaving["sequence"] = json!(2);
     host.store.write("servers/d0", &leaving);
     let mut newer = config(9, 3_000);
     newer["routes"][0]["prefix"] = json!("/order/");
     host.store.write("op/config", &newer);
-    host.until(|host| status(&host.ask("POST", "/order/1", "", "x")) == 200);
+    host.until(|host| status(&ask(host, "POST", "/order/1", "", "x")) == 200);
     let before = one.seen().len();
     for _ in 0..10 {
-        assert_eq!(status(&host.ask("POST", "/order/1", "", "x")), 200);
+        assert_eq!(status(&ask(&host, "POST", "/order/1", "", "x")), 200);
     }
     assert_eq!(one.seen().len(), 0, "{before} before");
-    assert_eq!(status(&host.ask("POST", "/book/1", "", "x")), 404);
+    assert_eq!(status(&ask(&host, "POST", "/book/1", "", "x")), 404);
 }
 
 #[test]
 fn a_watch_that_an_outage_has_swallowed_is_begun_anew() {
     let desk = Upstream::start(answer);
-    let host = Host::start(&[("d0", "desk", &desk)]);
+    let host = start(&[("d0", "desk", &desk)]);
     // The watch waits at the service, which forgets it.
     host.store.silent.store(true, Ordering::Relaxed);
     host.store.write("mulberryrack/nothing", &json!({}));
@@ -408,12 +290,12 @@
     newer["routes"][0]["prefix"] = json!("/order/");
     host.store.write("op/config", &newer);
     // The watch itself waits for longer than the test does.
-    host.until(|host| status(&host.ask("POST", "/order/1", "", "x")) == 200);
+    host.until(|host| status(&ask(host, "POST", "/order/1", "", "x")) == 200);
 }
 
 #[test]
 fn a_host_that_does_not_reach_the_store_has_its_lease_renewed_by_another() {
-    let first = Host::start(&[]);
+    let first = start(&[]);
     let second = Host::start_with(first.store.another());
     let key = format!("mulberryrack/hosts/{}", first.name);
     // By then the first host knows of the second.
@@ -432,7 +314,7 @@
 
 #[test]
 fn a_host_that_gives_orders_goes_on_while_no_host_reaches_the_store() {
-    let first = Host::start(&[]);
+    let first = start(&[]);
     let second = Host::start_with(first.store.another());
     let resolve = request(
         "GET",
@@ -456,15 +338,21 @@
 #[test]
 fn an_adapter_that_cannot_be_placed_is_asked_for_at_a_bounded_rate() {
     let engine = Upstream::start(answer);
-    let host = Host::start(&[("e0", "llm", &engine)]);
+    let host = start(&[("e0", "llm", &engine)]);
     let model = MODEL.replace("Model: m", "Model: m/a1");
     let asked = |host: &Host| host.logged("event=placed");
     host.until(|host| {
-        assert_eq!(status(&host.ask("POST", "/draft/1", &model, "prompt")), 503);
+        assert_eq!(
+            status(&ask(host, "POST", "/draft/1", &model, "prompt")),
+            503
+        );
         asked(host) > 0
     });
     let before = asked(&host);
-    assert_eq!(status(&host.ask("POST", "/draft/1", &model, "prompt")), 503);
+    assert_eq!(
+        status(&ask(&host, "POST", "/draft/1", &model, "prompt")),
+        503
+    );
     // The request waits for less than its objective of a second.
     assert!(
         asked(&host) - before < 40,
@@ -480,7 +368,7 @@
         answer(request, stream);
     };
     let desk = Upstream::start(slow);
-    let mut host = Host::start(&[("d0", "desk", &desk)]);
+    let mut host = start(&[("d0", "desk", &desk)]);
     let resolve = "/mulberryrack/resolve?name=shop.example&region=r&zone=a";
     host.until(|host| question(host.directory, resolve) == 200);
     let callers = host.callers;
@@ -493,7 +381,7 @@
     host.until(|host| !host.store.has("mulberryrack/"));
     assert_eq!(question(host.directory, resolve), 503);
     // Who still comes with an old answer is served.
-    assert_eq!(status(&host.ask("POST", "/book/2", "", "x")), 200);
+    assert_eq!(status(&ask(&host, "POST", "/book/2", "", "x")), 200);
     assert!(host.child.wait().expect("it ends").success());
 }
 
