--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -95,6 +95,10 @@
 const MIN_RETURN_MS: f64 = 300.0;
 const MAX_RETURN_MS: f64 = 2_000.0;
 
+/// Most hosts of which each is taken to hold as much back as this one: on larger sites one
+/// request held here says little of the others.
+const MOST_ALIKE: u32 = 8;
+
 /// Last rank that engines know.
 const LEAST_URGENT: u8 = 9;
 /// Pause before a stream that was broken off is looked at again.
@@ -448,7 +452,7 @@
         let ahead = if pass.held {
             0.0
         } else {
-            self.upstreams.get(offer.id).held_ms * f64::from(self.hosts)
+            self.upstreams.get(offer.id).held_ms * f64::from(self.hosts.min(MOST_ALIKE))
         };
         let before = offer.backlog_ms + ahead + rest;
         if waited + before + offer.read_ms > objective * self.tuning.late_share {
