Vouching: the lease's end is compared with when the words have come

A word is up to 150 ms old when it is read; compared with the moment of the question, a host that reached the store within that time after the lease's end would have passed. Names in the planner's balance.

--- a/crates/edge/src/vouch.rs
+++ b/crates/edge/src/vouch.rs
@@ -60,7 +60,8 @@
         };
         let asked = shared.clock.now();
         let all = ask_all(&shared, &mut channels).await;
-        let beyond = millis(asked.since(lease_end));
+        // Their words are from some time before this moment.
+        let beyond = millis(shared.clock.now().since(lease_end));
         let fence = shared.claim.borrow().fence().unwrap_or_default();
         let agrees = |it: &Contact| it.unreached_ms >= beyond && it.fence <= fence;
         let now_vouched = all.is_some_and(|all| all.iter().all(agrees));
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -22,10 +22,10 @@
 const CROWDED_MS: f64 = 500.0;
 /// What an engine that has to load from the weight store is charged beside one that has
 /// the weights at hand, in milliseconds of work a second: the copy comes seconds later.
-const FAR_MS: f64 = 150.0;
+const FAR_LOAD_MS: f64 = 150.0;
 /// What the last copy of an idle model is charged beside a copy that another one can stand
 /// in for, in milliseconds of work a second.
-const LAST_MS: f64 = 30.0;
+const LAST_COPY_MS: f64 = 30.0;
 /// Least number of models that are unloaded at once, to make way.
 const LEAST_UNLOADS: usize = 3;
 /// Time that a copy stays at least.
@@ -273,15 +273,15 @@
     }
 
     /// Unloads the copy that is missed least on an engine that has at most `bound` to do
-    /// once `model` is there: of a model with another copy, or with `last` also the last
-    /// one of an idle model that can be back soon.
-    fn make_way(&mut self, model: &Name, bound: f64, last: bool) {
+    /// once `model` is there: of a model with another copy, or with `idle_too` also
+    /// the last one of an idle model that can be back soon.
+    fn make_way(&mut self, model: &Name, bound: f64, idle_too: bool) {
         let all: Vec<Name> = self.load.keys().cloned().collect();
-        self.make_way_on(model, bound, last, &all);
+        self.make_way_on(model, bound, idle_too, &all);
     }
 
     /// As [`Balance::make_way`], on one of these engines.
-    fn make_way_on(&mut self, model: &Name, bound: f64, last: bool, engines: &[Name]) {
+    fn make_way_on(&mut self, model: &Name, bound: f64, idle_too: bool, engines: &[Name]) {
         if self.open(Action::Unload) >= self.loads_at_once().max(LEAST_UNLOADS) {
             return;
         }
@@ -296,11 +296,11 @@
             let far = if account.entry.at_hand.contains(model) {
                 0.0
             } else {
-                FAR_MS
+                FAR_LOAD_MS
             };
             for held in account.models.keys() {
                 let copies = self.copies_of(held);
-                let yields = copies == 1 && last && self.yields(account, held);
+                let yields = copies == 1 && idle_too && self.yields(account, held);
                 let frees = if self.size(held).is_finite() {
                     self.size(held)
                 } else {
@@ -314,7 +314,7 @@
                 let work = self.planner.work.model(held);
                 // What its other copies get, and what the engine has to do then.
                 let passed_on = match copies {
-                    0 | 1 => LAST_MS,
+                    1 => LAST_COPY_MS,
                     _ => work / f64::from(copies - 1),
                 };
                 let left = self.load_of(account) - work / f64::from(copies.max(1));
