--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -315,6 +315,8 @@
 #[test]
 fn a_host_that_gives_orders_goes_on_while_no_host_reaches_the_store() {
     let first = start(&[]);
+    // While it is the only host, no other can gain the claim.
+    first.until(|first| first.logged("claim-gained") == 1);
     let second = Host::start_with(first.store.another());
     let resolve = request(
         "GET",
@@ -324,7 +326,6 @@
     );
     let known = second.callers.to_string();
     second.until(|_| exchange(first.directory, &resolve).contains(&known));
-    first.until(|first| first.logged("claim-gained") == 1);
     for silenced in [&first.store, &second.store] {
         silenced.silent.store(true, Ordering::Relaxed);
     }
