Planner: work of a copy, what is at hand and what may go each in one place

The share of a copy was worked out in three places, the work of one more copy in two, what an engine has at hand in four. When a model was asked for last is read from the times by key and not kept twice. A request that waits for a model on its way costs no survey of the engines; it changed nothing before. A bool parameter is an enum.

--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -92,6 +92,11 @@
         self.listed && self.entry.state == State::Ready
     }
 
+    /// Whether it can load a model without the weight store.
+    pub fn at_hand(&self, model: &Name) -> bool {
+        self.entry.at_hand.contains(model)
+    }
+
     /// When a model was first seen here; the start for one that always was.
     pub fn arrived(&self, model: &str) -> Time {
         self.arrivals.get(model).copied().unwrap_or(Time::ZERO)
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -37,6 +37,15 @@
 /// Engines for each of which one adapter more is brought in one plan.
 const ENGINES_PER_ADAPTER: usize = 12;
 
+/// Which copies may be unloaded to make way for a model.
+#[derive(Clone, Copy)]
+enum Spare {
+    /// Those of models with another copy.
+    Copies,
+    /// Those, and the last copies of idle models that can be back soon.
+    IdleToo,
+}
+
 /// One look at the engines of a service.
 pub struct Balance<'a> {
     planner: &'a mut Planner,
@@ -126,6 +135,16 @@
         self.copies.get(model).copied().unwrap_or(0)
     }
 
+    /// Work of each copy of a model, in milliseconds a second.
+    fn work_of_copy(&self, model: &Name) -> f64 {
+        self.planner.work.model(model) / f64::from(self.copies_of(model).max(1))
+    }
+
+    /// As before, once there is one copy more.
+    fn work_of_next(&self, model: &Name) -> f64 {
+        self.planner.work.model(model) / f64::from(self.copies_of(model) + 1)
+    }
+
     fn load_of(&self, account: &Account) -> f64 {
         self.load.get(&account.entry.id).copied().unwrap_or(0.0)
     }
@@ -163,8 +182,8 @@
     /// Whether a model without work can be back soon after it is asked for: an engine has
     /// its weights at hand.
     fn dormant(&self, model: &Name) -> bool {
-        let at_hand = |account: &Account| account.entry.at_hand.contains(model);
-        self.planner.work.idle(self.now, model) && self.serving().any(at_hand)
+        let idle = self.planner.work.idle(self.now, model);
+        idle && self.serving().any(|account| account.at_hand(model))
     }
 
     /// Models that are on no engine, the busiest first.
@@ -183,8 +202,12 @@
     fn restore(&mut self) {
         for model in self.missing(false) {
             if !self.load_copy(&model, f64::INFINITY, "no-copy") {
-                let idle = self.planner.work.idle(self.now, &model);
-                self.make_way(&model, f64::INFINITY, !idle);
+                let spare = if self.planner.work.idle(self.now, &model) {
+                    Spare::Copies
+                } else {
+                    Spare::IdleToo
+                };
+                self.make_way(&model, f64::INFINITY, spare);
             }
         }
     }
@@ -192,10 +215,8 @@
     /// Loads dormant models while no model is crowded, so that their next request need
     /// not wait.
     fn return_dormant(&mut self) {
-        let share = |(model, copies): (&Name, &u32)| {
-            self.planner.work.model(model) / f64::from((*copies).max(1))
-        };
-        let most = self.copies.iter().map(share).fold(0.0, f64::max);
+        let shares = self.copies.keys().map(|model| self.work_of_copy(model));
+        let most = shares.fold(0.0, f64::max);
         if most >= CROWDED_MS || self.open(Action::Load) > 0 || self.open(Action::Unload) > 0 {
             return;
         }
@@ -203,24 +224,22 @@
             return;
         };
         if !self.load_copy(&model, f64::INFINITY, "dormant") {
-            self.make_way(&model, BUSY_MS, false);
+            self.make_way(&model, BUSY_MS, Spare::Copies);
         }
     }
 
     /// Loads a model that a request waits for.
     pub fn fetch(mut self, model: &Name) {
         if self.copies_of(model) == 0 && !self.load_copy(model, f64::INFINITY, "asked") {
-            self.make_way(model, f64::INFINITY, true);
+            self.make_way(model, f64::INFINITY, Spare::IdleToo);
         }
     }
 
     /// Adds a copy of the models whose copies have most to do.
     fn spread(&mut self) {
-        let work = &self.planner.work;
-        let share = |model: &Name| work.model(model) / f64::from(self.copies_of(model).max(1));
         let busy = self.copies.iter().filter(|(_, copies)| **copies > 0);
         let mut busy: Vec<(Name, f64)> = busy
-            .map(|(model, _)| (model.clone(), share(model)))
+            .map(|(model, _)| (model.clone(), self.work_of_copy(model)))
             .filter(|(_, share)| *share >= BUSY_MS)
             .collect();
         busy.sort_by(|one, other| other.1.total_cmp(&one.1));
@@ -231,7 +250,12 @@
                 .fold(0.0, f64::max);
             let bound = busiest * BETTER_SHARE;
             if !self.load_copy(&model, bound, "busy") {
-                self.make_way(&model, bound, share >= CROWDED_MS);
+                let spare = if share >= CROWDED_MS {
+                    Spare::IdleToo
+                } else {
+                    Spare::Copies
+                };
+                self.make_way(&model, bound, spare);
             }
         }
     }
@@ -243,8 +267,7 @@
             return true;
         }
         let size = self.size(model);
-        let added = self.planner.work.model(model) / f64::from(self.copies_of(model) + 1);
-        let at_hand = |account: &Account| account.entry.at_hand.contains(model);
+        let added = self.work_of_next(model);
         let fits = |account: &&Account| {
             account.free(self.now)
                 && !account.counts(model)
@@ -254,9 +277,11 @@
         let best = self.serving().filter(fits).min_by(|one, other| {
             let loads = self.load_of(one).total_cmp(&self.load_of(other));
             let held = one.models.len().cmp(&other.models.len());
-            at_hand(other).cmp(&at_hand(one)).then(loads).then(held)
+            let near = other.at_hand(model).cmp(&one.at_hand(model));
+            near.then(loads).then(held)
         });
-        let Some((name, near)) = best.map(|best| (best.entry.id.clone(), at_hand(best))) else {
+        let Some((name, near)) = best.map(|best| (best.entry.id.clone(), best.at_hand(model)))
+        else {
             return false;
         };
         let (span, rate) = (self.planner.window_span, self.engine.loads_per_s);
@@ -272,53 +297,34 @@
         true
     }
 
-    /// Unloads the copy that is missed least on an engine that has at most `bound` to do
-    /// once `model` is there: of a model with another copy, or with `idle_too` also
-    /// the last one of an idle model that can be back soon.
-    fn make_way(&mut self, model: &Name, bound: f64, idle_too: bool) {
-        let all: Vec<Name> = self.load.keys().cloned().collect();
-        self.make_way_on(model, bound, idle_too, &all);
+    /// Unloads the copy that is missed least, of those that may go, on an engine that has
+    /// at most `bound` to do once `model` is there.
+    fn make_way(&mut self, model: &Name, bound: f64, spare: Spare) {
+        self.make_way_on(model, bound, spare, None);
     }
 
-    /// As [`Balance::make_way`], on one of these engines.
-    fn make_way_on(&mut self, model: &Name, bound: f64, idle_too: bool, engines: &[Name]) {
+    /// As [`Balance::make_way`], on one of these engines; on any if none are named.
+    fn make_way_on(&mut self, model: &Name, bound: f64, spare: Spare, engines: Option<&[Name]>) {
         if self.open(Action::Unload) >= self.loads_at_once().max(LEAST_UNLOADS) {
             return;
         }
-        let size = self.size(model);
-        let added = self.planner.work.model(model) / f64::from(self.copies_of(model) + 1);
+        let added = self.work_of_next(model);
         let mut best: Option<(f64, Name, Name)> = None;
         for account in self.serving() {
-            let named = engines.contains(&account.entry.id);
+            let named = engines.is_none_or(|names| names.contains(&account.entry.id));
             if !named || !account.free(self.now) || account.counts(model) {
                 continue;
             }
-            let far = if account.entry.at_hand.contains(model) {
+            let far = if account.at_hand(model) {
                 0.0
             } else {
                 FAR_LOAD_MS
             };
             for held in account.models.keys() {
-                let copies = self.copies_of(held);
-                let yields = copies == 1 && idle_too && self.yields(account, held);
-                let frees = if self.size(held).is_finite() {
-                    self.size(held)
-                } else {
-                    0.0
-                };
-                let fresh = self.now.since(account.arrived(held)) < COPY_STAYS;
-                if !(copies >= 2 || yields) || fresh || account.free_mb(self.engine) + frees < size
-                {
+                if !self.may_go(account, held, spare) || !self.fits_without(account, held, model) {
                     continue;
                 }
-                let work = self.planner.work.model(held);
-                // What its other copies get, and what the engine has to do then.
-                let passed_on = match copies {
-                    1 => LAST_COPY_MS,
-                    _ => work / f64::from(copies - 1),
-                };
-                let left = self.load_of(account) - work / f64::from(copies.max(1));
-                let cost = passed_on.max(left + added);
+                let cost = self.cost_without(account, held, added);
                 let charged = cost + far;
                 if cost <= bound && best.as_ref().is_none_or(|(least, ..)| charged < *least) {
                     best = Some((charged, account.entry.id.clone(), held.clone()));
@@ -331,10 +337,41 @@
         }
     }
 
+    /// Whether an engine's copy of a model may be unloaded.
+    fn may_go(&self, account: &Account, held: &Name, spare: Spare) -> bool {
+        let stayed = self.now.since(account.arrived(held)) >= COPY_STAYS;
+        let replaceable = match (self.copies_of(held), spare) {
+            (0, _) | (1, Spare::Copies) => false,
+            (1, Spare::IdleToo) => self.yields(account, held),
+            _ => true,
+        };
+        stayed && replaceable
+    }
+
+    /// Whether an engine has room for a model once another one is gone.
+    fn fits_without(&self, account: &Account, held: &Name, model: &Name) -> bool {
+        let size = self.size(held);
+        let frees = if size.is_finite() { size } else { 0.0 };
+        account.free_mb(self.engine) + frees >= self.size(model)
+    }
+
+    /// The work that the other copies of a model get, or that its engine then has with
+    /// `added`; the larger of the two.
+    fn cost_without(&self, account: &Account, held: &Name, added: f64) -> f64 {
+        let work = self.planner.work.model(held);
+        let copies = self.copies_of(held);
+        let passed_on = match copies {
+            1 => LAST_COPY_MS,
+            _ => work / f64::from(copies - 1),
+        };
+        let left = self.load_of(account) - self.work_of_copy(held);
+        passed_on.max(left + added)
+    }
+
     /// Whether an engine that has the last copy of a model can drop it: the model is idle,
     /// and the engine can load it again from what it has at hand.
     fn yields(&self, account: &Account, model: &Name) -> bool {
-        self.planner.work.idle(self.now, model) && account.entry.at_hand.contains(model)
+        self.planner.work.idle(self.now, model) && account.at_hand(model)
     }
 
     /// Models of which an engine has the only copy, and cannot drop it.
@@ -388,7 +425,7 @@
             .filter(|account| fewer(account) && account.free(self.now))
             .map(|account| account.entry.id.clone())
             .collect();
-        self.make_way_on(&model, bound, false, &homes);
+        self.make_way_on(&model, bound, Spare::Copies, Some(&homes));
     }
 
     /// Brings busy adapters to further copies of their model.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -164,6 +164,11 @@
         if !holders.is_empty() {
             return Ok(holders);
         }
+        // Requests that wait for a model on its way ask many times: no survey for those.
+        let coming = |account: &Account| account.serves() && account.counts(model);
+        if adapter.is_none() && self.engines.values().any(coming) {
+            return Err(None);
+        }
         let mut wishes = Vec::new();
         for (service, engine) in self.services() {
             if engine.model(model).is_none() {
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -24,8 +24,6 @@
     fresh: BTreeMap<Key, f64>,
     second: Time,
     asked: BTreeMap<Key, Time>,
-    /// When a model was asked for last, with or without an adapter.
-    models_asked: BTreeMap<Name, Time>,
     /// Since when what is asked for is known.
     began: Time,
 }
@@ -39,7 +37,6 @@
 
     /// Notes that a model or adapter was asked for.
     pub fn ask(&mut self, now: Time, key: Key) {
-        self.models_asked.insert(key.0.clone(), now);
         self.asked.insert(key, now);
     }
 
@@ -50,9 +47,15 @@
 
     /// Whether a model has no work and was not asked for lately.
     pub fn idle(&self, now: Time, model: &Name) -> bool {
-        let asked = self.models_asked.get(model).copied();
-        let known = asked.unwrap_or(self.began).max(self.began);
-        self.model(model) <= 0.0 && now.since(known) > IDLE_AFTER
+        if self.model(model) > 0.0 {
+            return false;
+        }
+        // Keys are in order of their models, the model itself before its adapters.
+        let keys = self.asked.range((model.clone(), None)..);
+        let keys = keys.take_while(|((of, _), _)| of == model);
+        let asked = keys.map(|(_, asked)| *asked).max();
+        let known = asked.map_or(self.began, |asked| asked.max(self.began));
+        now.since(known) > IDLE_AFTER
     }
 
     /// Smooths the figures once a second.
