Gate: its figures in a file of their own; one way out of the row

Gate::abandoned only called Gate::release. The last event that a caller names was decoded and never read; its header goes on to the engine as before.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -220,7 +220,7 @@
     }
 
     fn abandoned(&self, pass: &mut Pass) {
-        self.shared.gate.borrow_mut().abandoned(pass);
+        self.shared.gate.borrow_mut().release(pass);
         let reason = Reason::CallerGone.label();
         self.shared
             .metrics
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,10 +15,12 @@
 mod gate;
 mod pace;
 mod pass;
+mod tuning;
 mod upstreams;
 
 pub use budget::Budget;
 pub use cache::Chain;
-pub use gate::{Change, Gate, Notice, Tuning, Wanted};
+pub use gate::{Change, Gate, Notice, Wanted};
 pub use pass::{Ending, Pass, Step, Target};
+pub use tuning::Tuning;
 pub use upstreams::UpstreamId;
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -120,7 +120,6 @@
         path: path.into(),
         patience: Some(ms(4_000)),
         generation,
-        last_event: None,
     }
 }
 
--- a/crates/site/src/ask.rs
+++ b/crates/site/src/ask.rs
@@ -40,8 +40,6 @@
     pub patience: Option<Duration>,
     /// What it needs of an engine; `None` for plain services.
     pub generation: Option<Generation>,
-    /// Id of the last event of the stream that the caller has.
-    pub last_event: Option<Name>,
 }
 
 /// Why a head cannot be understood.
