Edge: other hosts, channels to them and metrics registered, each by one function

Names and help of the metrics are as they were. The module of the short questions is called endpoint.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and gauges in the Prometheus text form.
 
 use mulberryrack_core::{kv::Op, note::Counter as Event};
+use mulberryrack_edge::registered;
 use mulberryrack_host::Area;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -53,56 +54,51 @@
     #[must_use]
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("mulberryrack");
-        let metrics = Self {
-            refused: Family::default(),
-            doubted: Family::default(),
-            retried: Family::default(),
-            events: Family::default(),
-            kv_calls: Family::default(),
-            peer_bytes: Counter::default(),
-            requests: Gauge::default(),
-            decisions: Histogram::new(DECISION_BUCKETS),
-            registry: Registry::default(),
-        };
-        registry.register(
-            "requests_refused",
-            "Requests refused without having run",
-            metrics.refused.clone(),
-        );
-        registry.register(
-            "requests_unknown",
-            "Requests whose outcome is not known",
-            metrics.doubted.clone(),
-        );
-        registry.register(
-            "attempts_retried",
-            "Attempts made again",
-            metrics.retried.clone(),
-        );
-        registry.register("events", "Events by name", metrics.events.clone());
-        registry.register(
-            "kv_calls",
-            "Calls to the key-value service",
-            metrics.kv_calls.clone(),
-        );
-        registry.register(
-            "peer_sent_bytes",
-            "Bytes of messages sent to hosts",
-            metrics.peer_bytes.clone(),
-        );
-        registry.register(
-            "requests_open",
-            "Requests without a final answer",
-            metrics.requests.clone(),
-        );
-        registry.register(
-            "decision_seconds",
-            "Time to decide on one event",
-            metrics.decisions.clone(),
-        );
         Self {
+            refused: registered(
+                &mut registry,
+                "requests_refused",
+                "Requests refused without having run",
+                Family::default(),
+            ),
+            doubted: registered(
+                &mut registry,
+                "requests_unknown",
+                "Requests whose outcome is not known",
+                Family::default(),
+            ),
+            retried: registered(
+                &mut registry,
+                "attempts_retried",
+                "Attempts made again",
+                Family::default(),
+            ),
+            events: registered(&mut registry, "events", "Events by name", Family::default()),
+            kv_calls: registered(
+                &mut registry,
+                "kv_calls",
+                "Calls to the key-value service",
+                Family::default(),
+            ),
+            peer_bytes: registered(
+                &mut registry,
+                "peer_sent_bytes",
+                "Bytes of messages sent to hosts",
+                Counter::default(),
+            ),
+            requests: registered(
+                &mut registry,
+                "requests_open",
+                "Requests without a final answer",
+                Gauge::default(),
+            ),
+            decisions: registered(
+                &mut registry,
+                "decision_seconds",
+                "Time to decide on one event",
+                Histogram::new(DECISION_BUCKETS),
+            ),
             registry,
-            ..metrics
         }
     }
 
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -1,7 +1,7 @@
 //! The server for callers.
 
 use crate::{
-    doors,
+    endpoint,
     exchange::{self, Part},
     journal::journal,
     peers::Link,
@@ -102,7 +102,7 @@
             return;
         }
         tokio::select! {
-            stream = doors::accept(&listener) => {
+            stream = endpoint::accept(&listener) => {
                 task::spawn_local(connection(shared.clone(), link.clone(), stream));
             }
             () = phased => {}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,8 +1,7 @@
 //! Which addresses callers are told.
 
-use crate::{seat::Seat, shared::Shared};
-use mulberryrack_core::Name;
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use crate::shared::Shared;
+use std::{net::SocketAddr, time::Duration};
 
 /// Most addresses in an answer, by the users' bound.
 const MOST_ADDRESSES: usize = 64;
@@ -11,12 +10,8 @@
 
 /// Addresses for callers, and how long they hold.
 pub fn addresses<D>(shared: &Shared<D>) -> (Vec<SocketAddr>, Duration) {
-    let hosts = shared.hosts.borrow();
-    let seats: BTreeMap<&Name, &Seat> =
-        hosts.iter().map(|(name, (seat, _))| (name, seat)).collect();
-    let me = &shared.settings.host;
-    let others = seats.iter().filter(|(name, _)| **name != me);
-    let mut addresses: Vec<SocketAddr> = others.map(|(_, seat)| seat.callers).collect();
+    let others = shared.others();
+    let mut addresses: Vec<SocketAddr> = others.iter().map(|seat| seat.callers).collect();
     if shared.ready() {
         addresses.push(shared.settings.callers);
     }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -4,7 +4,7 @@
     caller,
     client::Client,
     clock::Clock,
-    doors,
+    endpoint,
     journal::journal,
     membership,
     metrics::Metrics,
@@ -93,7 +93,7 @@
 }
 
 /// Sockets that a host listens on.
-struct Doors {
+struct Listeners {
     callers: TcpListener,
     readiness: TcpListener,
     directory: TcpListener,
@@ -102,7 +102,7 @@
     datagrams: UdpSocket,
 }
 
-impl Doors {
+impl Listeners {
     /// Listens on all addresses; those with port 0 get a free one, which is set.
     async fn open(settings: &mut Settings) -> io::Result<Self> {
         let listen = |address: &mut SocketAddr| {
@@ -125,15 +125,19 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let doors = Doors::open(&mut settings).await?;
-    let shared = share(settings, dialect, doors.datagrams);
+    let listeners = Listeners::open(&mut settings).await?;
+    let shared = share(settings, dialect, listeners.datagrams);
     let link = Rc::new(Link::default());
     let settings = &shared.settings;
-    for listener in [doors.readiness, doors.directory, doors.metrics] {
-        task::spawn_local(doors::serve(shared.clone(), listener));
+    for listener in [listeners.readiness, listeners.directory, listeners.metrics] {
+        task::spawn_local(endpoint::serve(shared.clone(), listener));
     }
-    task::spawn_local(peers::serve(shared.clone(), doors.peers));
-    task::spawn_local(caller::serve(shared.clone(), link.clone(), doors.callers));
+    task::spawn_local(peers::serve(shared.clone(), listeners.peers));
+    task::spawn_local(caller::serve(
+        shared.clone(),
+        link.clone(),
+        listeners.callers,
+    ));
     task::spawn_local(notices::hear(shared.clone()));
     task::spawn_local(watch::run(shared.clone()));
     task::spawn_local(orders::run(shared.clone()));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,7 +9,7 @@
 mod client;
 mod clock;
 mod directory;
-mod doors;
+mod endpoint;
 mod events;
 mod exchange;
 mod host;
@@ -27,3 +27,4 @@
 mod watch;
 
 pub use host::run;
+pub use metrics::registered;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -8,7 +8,7 @@
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
-    registry::Registry,
+    registry::{Metric, Registry},
 };
 use std::time::Duration;
 
@@ -32,6 +32,17 @@
     answered: &'static str,
 }
 
+/// Registers a metric under a name, and returns it.
+pub fn registered<M: Metric + Clone>(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    metric: M,
+) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 /// What the host counts.
 pub struct Metrics {
     registry: Registry,
@@ -54,58 +65,62 @@
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("mulberryrack");
         let buckets = || exponential_buckets(0.005, 2.0, 13);
-        let metrics = Self {
-            ends: Family::default(),
-            retries: Family::default(),
-            calls: Family::default(),
-            orders: Family::default(),
-            first: Histogram::new(buckets()),
-            whole: Histogram::new(buckets()),
-            open: Gauge::default(),
-            config_version: Gauge::default(),
-            upstreams: Gauge::default(),
-            registry: Registry::default(),
-        };
-        registry.register("requests", "Requests by their end", metrics.ends.clone());
-        registry.register(
-            "retries",
-            "Requests sent once more",
-            metrics.retries.clone(),
-        );
-        registry.register(
-            "store_calls",
-            "Calls to the key-value service",
-            metrics.calls.clone(),
-        );
-        registry.register(
-            "orders",
-            "Orders to engines by verdict",
-            metrics.orders.clone(),
-        );
-        registry.register(
-            "first_event_seconds",
-            "Arrival to first event",
-            metrics.first.clone(),
-        );
-        registry.register("request_seconds", "Arrival to end", metrics.whole.clone());
-        registry.register(
-            "open_requests",
-            "Requests without an end",
-            metrics.open.clone(),
-        );
-        registry.register(
-            "config_version",
-            "Configuration in force",
-            metrics.config_version.clone(),
-        );
-        registry.register(
-            "upstreams",
-            "Upstreams that are listed",
-            metrics.upstreams.clone(),
-        );
         Self {
+            ends: registered(
+                &mut registry,
+                "requests",
+                "Requests by their end",
+                Family::default(),
+            ),
+            retries: registered(
+                &mut registry,
+                "retries",
+                "Requests sent once more",
+                Family::default(),
+            ),
+            calls: registered(
+                &mut registry,
+                "store_calls",
+                "Calls to the key-value service",
+                Family::default(),
+            ),
+            orders: registered(
+                &mut registry,
+                "orders",
+                "Orders to engines by verdict",
+                Family::default(),
+            ),
+            first: registered(
+                &mut registry,
+                "first_event_seconds",
+                "Arrival to first event",
+                Histogram::new(buckets()),
+            ),
+            whole: registered(
+                &mut registry,
+                "request_seconds",
+                "Arrival to end",
+                Histogram::new(buckets()),
+            ),
+            open: registered(
+                &mut registry,
+                "open_requests",
+                "Requests without an end",
+                Gauge::default(),
+            ),
+            config_version: registered(
+                &mut registry,
+                "config_version",
+                "Configuration in force",
+                Gauge::default(),
+            ),
+            upstreams: registered(
+                &mut registry,
+                "upstreams",
+                "Upstreams that are listed",
+                Gauge::default(),
+            ),
             registry,
-            ..metrics
         }
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,6 +1,6 @@
 //! Calls between hosts: demand, and models and adapters that requests wait for.
 
-use crate::{journal::journal, orders, seat::Seat, shared::Shared, vouch};
+use crate::{journal::journal, orders, shared::Shared, vouch};
 use mulberryrack_core::{
     Name,
     kv::{Lease, Op, Reply},
@@ -160,21 +160,16 @@
 }
 
 impl Link {
-    fn channel(&self, address: SocketAddr) -> Option<Channel> {
+    fn channel(&self, address: SocketAddr) -> Channel {
         let mut kept = self.channel.borrow_mut();
         if let Some((to, channel)) = &*kept
             && *to == address
         {
-            return Some(channel.clone());
+            return channel.clone();
         }
-        let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
-        let channel = endpoint
-            .timeout(CALL_TIMEOUT)
-            .connect_timeout(CALL_TIMEOUT)
-            .http2_keep_alive_interval(KEEPALIVE)
-            .connect_lazy();
+        let channel = dial(address, CALL_TIMEOUT);
         *kept = Some((address, channel.clone()));
-        Some(channel)
+        channel
     }
 
     fn forget(&self) {
@@ -182,6 +177,17 @@
     }
 }
 
+/// A channel to another host, connected by its first call.
+pub fn dial(address: SocketAddr, timeout: Duration) -> Channel {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"));
+    endpoint
+        .expect("an address makes a URI")
+        .timeout(timeout)
+        .connect_timeout(timeout)
+        .http2_keep_alive_interval(KEEPALIVE)
+        .connect_lazy()
+}
+
 /// Reports demand to the planner until the process ends.
 pub async fn report<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<Link>) {
     loop {
@@ -196,9 +202,7 @@
             orders::hear(&shared, &demands);
             continue;
         }
-        let Some(channel) = link.channel(seat.peers) else {
-            continue;
-        };
+        let channel = link.channel(seat.peers);
         let message = plan::Demand {
             host: shared.settings.host.to_string(),
             wanted: wanted.iter().map(message).collect(),
@@ -234,23 +238,11 @@
 /// Has another host renew a lease, for one that does not reach the key-value service.
 /// Returns whether the lease is in force; `None` if the other host does not know either.
 pub async fn renew<D: Dialect>(shared: &Shared<D>, lease: Lease) -> Option<bool> {
-    let other = {
-        let hosts = shared.hosts.borrow();
-        let me = &shared.settings.host;
-        let others: Vec<&Seat> = hosts
-            .values()
-            .map(|(seat, _)| seat)
-            .filter(|seat| seat.host != *me)
-            .collect();
-        // Another one each time: the one before may be cut off as well.
-        let turn = usize::try_from(shared.clock.now().as_micros()).unwrap_or_default();
-        others.get(turn % others.len().max(1)).copied().cloned()?
-    };
-    let endpoint = Endpoint::from_shared(format!("http://{}", other.peers)).ok()?;
-    let channel = endpoint
-        .timeout(RENEW_TIMEOUT)
-        .connect_timeout(RENEW_TIMEOUT)
-        .connect_lazy();
+    let others = shared.others();
+    // Another one each time: the one before may be cut off as well.
+    let turn = usize::try_from(shared.clock.now().as_micros()).unwrap_or_default();
+    let other = others.get(turn % others.len().max(1))?;
+    let channel = dial(other.peers, RENEW_TIMEOUT);
     let message = plan::Lease { id: lease.0 };
     match PlannerClient::new(channel).renew(message).await {
         Ok(renewed) => {
@@ -321,7 +313,7 @@
     if seat.host == shared.settings.host {
         return orders::place(shared.clone(), model.clone(), adapter.cloned()).await;
     }
-    let channel = link.channel(seat.peers)?;
+    let channel = link.channel(seat.peers);
     let message = plan::Place {
         model: model.to_string(),
         adapter: adapter.map(ToString::to_string).unwrap_or_default(),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// The other hosts that serve.
+    pub fn others(&self) -> Vec<Seat> {
+        let hosts = self.hosts.borrow();
+        let seats = hosts.values().map(|(seat, _)| seat);
+        let other = |seat: &&Seat| seat.host != self.settings.host;
+        seats.filter(other).cloned().collect()
+    }
+
     /// Moves on to a later phase.
     pub fn enter(&self, phase: Phase) {
         self.phase.set(phase);
--- a/crates/edge/src/vouch.rs
+++ b/crates/edge/src/vouch.rs
@@ -1,7 +1,7 @@
 //! Whether the host that gives orders may go on while the key-value service is out: it may
 //! as long as all others say that they do not reach the service either.
 
-use crate::{journal::journal, seat::Seat, shared::Shared};
+use crate::{journal::journal, peers, shared::Shared};
 use mulberryrack_core::Name;
 use mulberryrack_site::Dialect;
 use mulberryrack_wire::plan::{Contact, Question, planner_client::PlannerClient};
@@ -11,7 +11,7 @@
     task::JoinSet,
     time::{self, Instant},
 };
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 
 /// Time between two rounds of questions; two fit into the time for which a round holds.
 const ROUND: Duration = Duration::from_millis(180);
@@ -80,19 +80,15 @@
     shared: &Shared<D>,
     channels: &mut BTreeMap<Name, Channel>,
 ) -> Option<Vec<Contact>> {
-    let others: Vec<Seat> = {
-        let hosts = shared.hosts.borrow();
-        let me = &shared.settings.host;
-        let seats = hosts.values().map(|(seat, _)| seat);
-        seats.filter(|seat| seat.host != *me).cloned().collect()
-    };
+    let others = shared.others();
     if others.len() > MOST_HOSTS {
         return None;
     }
     let mut questions = JoinSet::new();
     for seat in others {
-        let channel = channel(channels, &seat)?;
-        questions.spawn(ask(channel, seat.peers));
+        let dial = || peers::dial(seat.peers, ANSWER_TIMEOUT);
+        let channel = channels.entry(seat.host).or_insert_with(dial);
+        questions.spawn(ask(channel.clone(), seat.peers));
     }
     let mut contacts = Vec::new();
     while let Some(word) = questions.join_next().await {
@@ -105,16 +101,6 @@
     Some(contacts)
 }
 
-fn channel(channels: &mut BTreeMap<Name, Channel>, seat: &Seat) -> Option<Channel> {
-    if let Some(channel) = channels.get(&seat.host) {
-        return Some(channel.clone());
-    }
-    let endpoint = Endpoint::from_shared(format!("http://{}", seat.peers)).ok()?;
-    let channel = endpoint.connect_timeout(ANSWER_TIMEOUT).connect_lazy();
-    channels.insert(seat.host.clone(), channel.clone());
-    Some(channel)
-}
-
 async fn ask(channel: Channel, address: SocketAddr) -> Word {
     let until = Instant::now() + ANSWER_TIMEOUT;
     let mut client = PlannerClient::new(channel);
