--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -7,9 +7,11 @@
 mod store;
 #[path = "site/upstream.rs"]
 mod upstream;
+#[path = "site/wire.rs"]
+mod wire;
 
 use host::{Host, exchange, question, status};
-use serde_json::{Value, json};
+use serde_json::json;
 use std::{
     fs,
     io::{Read, Write},
@@ -21,52 +23,18 @@
 };
 use store::Store;
 use upstream::{Request, Upstream, answer, chunk, events, head};
-
-fn config(version: u64, timeout_ms: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
-        json!({
-            "name": name, "hostname": "shop.example", "prefix": format!("/{name}/"),
-            "route-kind": kind, "timeout-ms": timeout_ms, "target-latency-ms": 1_000,
-            "priority": 1, "service-name": service, "max-attempts": 2,
-            "resumable": resumable, "target-gap-ms": 600,
-        })
-    };
-    let model = json!({ "name": "m", "weights-mb": 1.0, "load-time-s": 1.0, "adapters": 0 });
-    json!({
-        "version": version,
-        "routes": [
-            route("book", "non_idempotent", "desk", false),
-            route("look", "idempotent", "desk", false),
-            route("draft", "streaming", "llm", true),
-        ],
-        "services": [
-            { "name": "desk", "max-connections": 10 },
-            { "name": "llm", "max-connections": 10, "engine": {
-                "slot-count": 8, "kv-cache-tokens": 1_000, "weights-mb": 10.0, "models": [model],
-            } },
-        ],
-        "limits": {
-            "max-header-bytes": 8_192, "max-body-bytes": 10_000,
-            "header-timeout-ms": 1_000, "idle-timeout-ms": 2_000,
-        },
-    })
-}
-
-fn entry(service: &str, upstream: &Upstream, state: &str) -> Value {
-    json!({
-        "service-name": service, "address": upstream.address, "zone": "a", "version": "v1",
-        "slot-count": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1, "born": 1,
-        "models": [{ "name": "m", "version": 1, "adapters": [] }],
-    })
-}
+use wire::{MODEL, config, entry};
 
 /// Starts a host whose key-value service has these upstreams, and waits until it is
 /// ready.
 fn start(upstreams: &[(&str, &str, &Upstream)]) -> Host {
     let store = Store::start();
-    store.write("op/config", &config(1, 3_000));
+    store.write("op/config", &config(1, "desk"));
     for (id, service, upstream) in upstreams {
-        store.write(&format!("servers/{id}"), &entry(service, upstream, "ready"));
+        store.write(
+            &format!("servers/{id}"),
+            &entry(service, upstream.address, "ready"),
+        );
     }
     // What another writer left is nobody's upstream and harms no other.
     store.put("servers/torn", b"\xff{".to_vec(), 0);
@@ -90,8 +58,6 @@
     )
 }
 
-const MODEL: &str = "Model: m\r\nToken-Counts: 10,5\r\nPrompt-Prefix: 1:10\r\n";
-
 #[test]
 fn a_request_is_passed_on_without_what_only_the_system_sets() {
     let desk = Upstream::start(answer);
@@ -262,10 +228,10 @@
 fn a_route_that_was_added_is_served_and_an_upstream_that_leaves_gets_nothing() {
     let (one, two) = (Upstream::start(answer), Upstream::start(answer));
     let host = start(&[("d0", "desk", &one), ("d1", "desk", &two)]);
-    let mut leaving = entry("desk", &one, "draining");
+    let mut leaving = entry("desk", one.address, "draining");
     leaving["sequence"] = json!(2);
     host.store.write("servers/d0", &leaving);
-    let mut newer = config(9, 3_000);
+    let mut newer = config(9, "desk");
     newer["routes"][0]["prefix"] = json!("/order/");
     host.store.write("op/config", &newer);
     host.until(|host| status(&ask(host, "POST", "/order/1", "", "x")) == 200);
@@ -286,27 +252,27 @@
     host.store.write("mulberryrack/nothing", &json!({}));
     thread::sleep(Duration::from_millis(2_500));
     host.store.silent.store(false, Ordering::Relaxed);
-    let mut newer = config(9, 3_000);
+    let mut newer = config(9, "desk");
     newer["routes"][0]["prefix"] = json!("/order/");
     host.store.write("op/config", &newer);
     // The watch itself waits for longer than the test does.
     host.until(|host| status(&ask(host, "POST", "/order/1", "", "x")) == 200);
 }
 
+/// Waits until the first host names the second one to callers.
+fn wait_until_known(first: &Host, second: &Host) {
+    let path = "/mulberryrack/resolve?name=x&region=r&zone=a";
+    let resolve = request("GET", path, "", "");
+    let known = second.callers.to_string();
+    second.until(|_| exchange(first.directory, &resolve).contains(&known));
+}
+
 #[test]
 fn a_host_that_does_not_reach_the_store_has_its_lease_renewed_by_another() {
     let first = start(&[]);
     let second = Host::start_with(first.store.another());
     let key = format!("mulberryrack/hosts/{}", first.name);
-    // By then the first host knows of the second.
-    let resolve = request(
-        "GET",
-        "/mulberryrack/resolve?name=x&region=r&zone=a",
-        "",
-        "",
-    );
-    let known = second.callers.to_string();
-    second.until(|_| exchange(first.directory, &resolve).contains(&known));
+    wait_until_known(&first, &second);
     first.store.silent.store(true, Ordering::Relaxed);
     let before = first.store.renewals(&key);
     second.until(|_| first.store.renewals(&key) > before + 2);
@@ -318,14 +284,7 @@
     // While it is the only host, no other can gain the claim.
     first.until(|first| first.logged("claim-gained") == 1);
     let second = Host::start_with(first.store.another());
-    let resolve = request(
-        "GET",
-        "/mulberryrack/resolve?name=x&region=r&zone=a",
-        "",
-        "",
-    );
-    let known = second.callers.to_string();
-    second.until(|_| exchange(first.directory, &resolve).contains(&known));
+    wait_until_known(&first, &second);
     for silenced in [&first.store, &second.store] {
         silenced.silent.store(true, Ordering::Relaxed);
     }
--- /dev/null
+++ b/crates/daemon/tests/site/wire.rs
@@ -0,0 +1,48 @@
+//! What the operator and upstreams write into the key-value service.
+
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// Headers of a request for the model that all engines have.
+pub const MODEL: &str = "Model: m\r\nToken-Counts: 10,5\r\nPrompt-Prefix: 1:10\r\n";
+
+/// A configuration with a route of each kind; `look` is the service of the one that may be
+/// repeated.
+pub fn config(version: u64, look: &str) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": name, "hostname": "shop.example", "prefix": format!("/{name}/"),
+            "route-kind": kind, "timeout-ms": 3_000, "target-latency-ms": 1_000,
+            "priority": 1, "service-name": service, "max-attempts": 2,
+            "resumable": resumable, "target-gap-ms": 600,
+        })
+    };
+    let model = json!({ "name": "m", "weights-mb": 1.0, "load-time-s": 1.0, "adapters": 0 });
+    json!({
+        "version": version,
+        "routes": [
+            route("book", "non_idempotent", "desk", false),
+            route("look", "idempotent", look, false),
+            route("draft", "streaming", "llm", true),
+        ],
+        "services": [
+            { "name": "desk", "max-connections": 10 },
+            { "name": "llm", "max-connections": 10, "engine": {
+                "slot-count": 8, "kv-cache-tokens": 1_000, "weights-mb": 10.0, "models": [model],
+            } },
+        ],
+        "limits": {
+            "max-header-bytes": 8_192, "max-body-bytes": 10_000,
+            "header-timeout-ms": 1_000, "idle-timeout-ms": 2_000,
+        },
+    })
+}
+
+/// The entry of an upstream.
+pub fn entry(service: &str, address: SocketAddr, state: &str) -> Value {
+    json!({
+        "service-name": service, "address": address, "zone": "a", "version": "v1",
+        "slot-count": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1, "born": 1,
+        "models": [{ "name": "m", "version": 1, "adapters": [] }],
+    })
+}
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -18,6 +18,8 @@
 #[allow(dead_code)]
 #[path = "site/upstream.rs"]
 mod upstream;
+#[path = "site/wire.rs"]
+mod wire;
 
 use caller::{Answer, Caller};
 use host::Host;
@@ -93,36 +95,20 @@
     let _ = sent.and_then(|()| stream.write_all(b"0\r\n\r\n"));
 }
 
+/// A configuration whose version can be told from the service of its route for looks.
 fn config(version: u64) -> Value {
     let look = format!("look{version}");
-    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
-        json!({
-            "name": name, "hostname": "shop.example", "prefix": format!("/{name}/"),
-            "route-kind": kind, "timeout-ms": 3_000, "target-latency-ms": 1_000,
-            "priority": 1, "service-name": service, "max-attempts": 3,
-            "resumable": resumable, "target-gap-ms": 600,
-        })
-    };
-    let model = json!({ "name": "m", "weights-mb": 1.0, "load-time-s": 1.0, "adapters": 0 });
-    json!({
-        "version": version,
-        "routes": [
-            route("book", "non_idempotent", "desk", false),
-            route("look", "idempotent", &look, false),
-            route("draft", "streaming", "llm", true),
-        ],
-        "services": [
-            { "name": "desk", "max-connections": 50 },
-            { "name": look, "max-connections": 50 },
-            { "name": "llm", "max-connections": 50, "engine": {
-                "slot-count": 8, "kv-cache-tokens": 1_000, "weights-mb": 10.0, "models": [model],
-            } },
-        ],
-        "limits": {
-            "max-header-bytes": 8_192, "max-body-bytes": 10_000,
-            "header-timeout-ms": 1_000, "idle-timeout-ms": 4_000,
-        },
-    })
+    let mut config = wire::config(version, &look);
+    for route in config["routes"].as_array_mut().expect("a list") {
+        route["max-attempts"] = json!(3);
+    }
+    let services = config["services"].as_array_mut().expect("a list");
+    services.push(json!({ "name": look }));
+    for service in services {
+        service["max-connections"] = json!(50);
+    }
+    config["limits"]["idle-timeout-ms"] = json!(4_000);
+    config
 }
 
 /// A host with the link through which it reaches the store.
@@ -174,11 +160,7 @@
     }
 
     fn list(&self, id: &str, service: &str, link: &Link) {
-        let entry = json!({
-            "service-name": service, "address": link.address, "zone": "a", "version": "v1",
-            "slot-count": 8, "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": 1,
-            "models": [{ "name": "m", "version": 1, "adapters": [] }],
-        });
+        let entry = wire::entry(service, link.address, "ready");
         self.store.write(&format!("servers/{id}"), &entry);
     }
 
@@ -289,11 +271,7 @@
 fn ask(caller: &mut Caller, path: &str) -> (String, Answer) {
     let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
     let id = format!("{number:016x}");
-    let more = if path == "/draft/" {
-        "Model: m\r\nToken-Counts: 10,5\r\nPrompt-Prefix: 1:10\r\n"
-    } else {
-        ""
-    };
+    let more = if path == "/draft/" { wire::MODEL } else { "" };
     let answer = caller.ask("POST", path, &id, more);
     (id, answer)
 }
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -21,6 +21,16 @@
     claim
 }
 
+/// When the next holder may order that gains the claim at a moment and renews it.
+fn first_order_after(gained: u64) -> Option<u64> {
+    let mut next = Claim::new(TTL, APART);
+    next.gained(at(gained), at(gained), Revision(8));
+    (gained..gained + 6_000)
+        .step_by(500)
+        .for_each(|sent| next.renewed(at(sent)));
+    (gained..gained + 6_000).find(|now| next.stand(at(*now)) == Stand::Holds)
+}
+
 #[test]
 fn a_new_holder_waits_until_the_one_before_is_far_enough_back() {
     let claim = held(5_000);
@@ -46,12 +56,7 @@
             .max();
         // The store lets the lease lapse at the earliest when it was sent plus its time.
         let lapse = renewed + 2_400;
-        let mut next = Claim::new(TTL, APART);
-        next.gained(at(lapse), at(lapse), Revision(8));
-        (lapse..lapse + 6_000)
-            .step_by(500)
-            .for_each(|sent| next.renewed(at(sent)));
-        let first = (lapse..lapse + 6_000).find(|now| next.stand(at(*now)) == Stand::Holds);
+        let first = first_order_after(lapse);
         if let (Some(last), Some(first)) = (last_order, first) {
             assert!(first - last >= 3_000, "{last} and {first}");
         }
@@ -77,12 +82,7 @@
     claim.vouched(at(back - 1));
     let holds = |now: &u64| claim.stand(at(*now)) == Stand::Holds;
     let last = (back..20_000).filter(holds).max().expect("it goes on");
-    let mut next = Claim::new(TTL, APART);
-    next.gained(at(back), at(back), Revision(8));
-    (back..back + 6_000)
-        .step_by(500)
-        .for_each(|sent| next.renewed(at(sent)));
-    let first = (back..back + 6_000).find(|now| next.stand(at(*now)) == Stand::Holds);
+    let first = first_order_after(back);
     assert!(first.expect("it takes over") - (last + way) >= 3_000);
 }
 
