--- a/crates/gate/tests/load.rs
+++ b/crates/gate/tests/load.rs
@@ -124,6 +124,23 @@
     assert!(waits.max() < Some(ms(1_000)), "all are sent in time");
 }
 
+#[test]
+fn of_a_crowd_those_that_would_come_too_late_are_refused_at_once() {
+    let mut gate = gate();
+    gate.unlist("e1");
+    // Twenty prompts at once, of 87 ms each once the shared part is read: about eight are
+    // read within the objective of a second.
+    let steps: Vec<Step> = (0..20)
+        .map(|own| start(&mut gate, NOW, ask("/stream/x", Some(prompt(1, own)))).1)
+        .collect();
+    let refused = steps.iter().filter(|step| matches!(step, Step::Refuse(_)));
+    let refused = refused.count();
+    assert!((8..=14).contains(&refused), "refused {refused}: {steps:?}");
+    let held = steps.iter().filter(|step| matches!(step, Step::Hold(_)));
+    // 276, 87 and 87 ms are below 0.8 of the allowed pause of 600 ms.
+    assert_eq!(held.count() + refused, 17, "three are sent");
+}
+
 /// Sends prompts at a rate and returns the waits to their first events, of those that
 /// were sent, and how many were refused, each with its wait until then.
 fn play(gate: &mut Gate, every: Duration, count: u32) -> (Vec<Duration>, Vec<Duration>) {
