Test: a crash is not counted if the address goes on accepting connections

Callers saw: upstreams that drop a connection under a request, or fall silent under it, and come back under a new id while their address accepts connections are ended again and again by the same request.

--- a/crates/daemon/tests/crash/engine.rs
+++ b/crates/daemon/tests/crash/engine.rs
@@ -1,5 +1,5 @@
 //! A stand-in for an upstream that ends when it runs a certain request and starts again after
-//! a pause, as a new incarnation at the same address.
+//! a pause, as a new incarnation under a new id at the same address.
 
 use crate::{
     store::Store,
@@ -19,8 +19,8 @@
 
 /// Body of the request that ends each upstream that runs it.
 pub const CRASHING: &str = "crash";
-/// Time until an upstream that has ended starts again.
-const RESTART_DELAY: Duration = Duration::from_secs(1);
+/// Time for which the entry of an upstream that ended without closing its address stays.
+const LAPSE_DELAY: Duration = Duration::from_secs(3);
 /// Interval at which an upstream checks whether it has to end.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Number of events of a stream, and the time between two of them.
@@ -32,16 +32,29 @@
 
 type WeakRuns = Weak<Mutex<Vec<String>>>;
 
+/// How an upstream ends, and the time until the next incarnation serves at its address.
+#[derive(Clone, Copy, Debug)]
+pub enum Restart {
+    /// The address refuses connections meanwhile.
+    Refusing(Duration),
+    /// All connections end, but the address goes on accepting new ones.
+    Accepting(Duration),
+    /// No connection ends, but nothing is answered on them any more. The address goes on
+    /// accepting connections.
+    Silent(Duration),
+}
+
 /// One incarnation of an upstream.
 struct Incarnation {
     id: String,
+    restart: Restart,
     ended: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     runs: WeakRuns,
 }
 
 /// Starts an upstream, which runs until `runs` is dropped.
-pub fn start(name: String, service: &'static str, store: Store, runs: &Runs) {
+pub fn start(name: String, service: &'static str, restart: Restart, store: Store, runs: &Runs) {
     let runs = Arc::downgrade(runs);
     let mut listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
@@ -53,20 +66,57 @@
         for number in 1.. {
             let incarnation = Incarnation {
                 id: format!("{name}-{number}"),
+                restart,
                 ended: AtomicBool::new(false),
                 connections: Mutex::default(),
                 runs: runs.clone(),
             };
             let key = format!("servers/{}", incarnation.id);
             store.write(&key, &entry(service, address, "ready"));
-            serve(listener, &Arc::new(incarnation));
+            let incarnation = Arc::new(incarnation);
+            serve(&listener, &incarnation);
             if runs.strong_count() == 0 {
                 return;
             }
-            thread::sleep(RESTART_DELAY);
+            listener = end(listener, address, &incarnation, &store, key);
+        }
+    });
+}
+
+/// Ends an incarnation and returns the listener of the next one, once that may start.
+fn end(
+    listener: TcpListener,
+    address: SocketAddr,
+    incarnation: &Incarnation,
+    store: &Store,
+    key: String,
+) -> TcpListener {
+    match incarnation.restart {
+        Restart::Refusing(delay) => {
+            drop(listener);
+            incarnation.shut_connections();
+            thread::sleep(delay);
             store.remove(&key);
-            listener = bind(address);
+            bind(address)
         }
+        Restart::Accepting(delay) => {
+            incarnation.shut_connections();
+            remove_later(store.clone(), key);
+            thread::sleep(delay);
+            listener
+        }
+        Restart::Silent(delay) => {
+            remove_later(store.clone(), key);
+            thread::sleep(delay);
+            listener
+        }
+    }
+}
+
+fn remove_later(store: Store, key: String) {
+    thread::spawn(move || {
+        thread::sleep(LAPSE_DELAY);
+        store.remove(&key);
     });
 }
 
@@ -80,9 +130,21 @@
     }
 }
 
-/// Accepts connections until the incarnation ends, then closes the listener and after that
-/// all connections.
-fn serve(listener: TcpListener, incarnation: &Arc<Incarnation>) {
+impl Incarnation {
+    fn shut_connections(&self) {
+        for connection in &*self.connections.lock().expect("unpoisoned") {
+            // Fails if the host has closed the connection.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        matches!(self.restart, Restart::Silent(_)) && self.ended.load(Ordering::Relaxed)
+    }
+}
+
+/// Accepts connections until the incarnation ends.
+fn serve(listener: &TcpListener, incarnation: &Arc<Incarnation>) {
     listener.set_nonblocking(true).expect("a socket");
     while !incarnation.ended.load(Ordering::Relaxed) && incarnation.runs.strong_count() > 0 {
         match listener.accept() {
@@ -100,15 +162,19 @@
             Err(error) => panic!("{error}"),
         }
     }
-    drop(listener);
-    for connection in &*incarnation.connections.lock().expect("unpoisoned") {
-        // Fails if the host has closed the connection.
-        let _ = connection.shutdown(Shutdown::Both);
-    }
 }
 
 fn handle(mut stream: TcpStream, incarnation: &Incarnation) {
     while let Some(request) = read(&mut stream) {
+        if incarnation.is_silent() {
+            continue;
+        }
+        if request.line.starts_with("GET /health ") {
+            let id = &incarnation.id;
+            let text = format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            let _ = stream.write_all(text.as_bytes());
+            continue;
+        }
         if request.line.contains("/mulberryrack/") {
             let _ = stream.write_all(b"HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n");
             continue;
@@ -124,7 +190,7 @@
         runs.lock().expect("unpoisoned").push(body.clone());
         if body == CRASHING {
             incarnation.ended.store(true, Ordering::Relaxed);
-        } else {
+        } else if !incarnation.is_silent() {
             run(&request, &mut stream);
         }
         return;
--- a/crates/daemon/tests/crashing_request.rs
+++ b/crates/daemon/tests/crashing_request.rs
@@ -15,22 +15,28 @@
 #[path = "site/wire.rs"]
 mod wire;
 
-use engine::{CRASHING, EVENTS, Runs};
+use engine::{CRASHING, EVENTS, Restart, Runs};
 use host::{Host, exchange, status};
 use std::{
-    sync::atomic::{AtomicU32, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 use store::Store;
 use wire::{MODEL, config};
 
 /// Number of engines, and of replicas of the plain service.
 const UPSTREAM_COUNT: u32 = 12;
+/// Time for which an upstream that refuses connections stays away.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Time within which the hosts share what they know; the users' `contact-ms`.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Pause between two attempts of a caller.
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of attempts of a caller that goes on whatever it is answered, and the pause between
+/// two of them.
+const STEADY_ATTEMPTS: usize = 36;
+const STEADY_INTERVAL: Duration = Duration::from_millis(300);
 /// Largest number of dispatches of a request later than [`CONTACT`] after its third crash; the
 /// users' bound.
 const MAX_LATE_DISPATCHES: usize = 3;
@@ -45,12 +51,16 @@
 
 impl Site {
     fn start(host_count: usize) -> Self {
+        Self::start_with(host_count, UPSTREAM_COUNT, Restart::Refusing(RESTART_DELAY))
+    }
+
+    fn start_with(host_count: usize, upstream_count: u32, restart: Restart) -> Self {
         let store = Store::start();
         store.write("op/config", &config(1, "desk"));
         let runs = Runs::default();
-        for index in 0..UPSTREAM_COUNT {
-            engine::start(format!("d{index}"), "desk", store.clone(), &runs);
-            engine::start(format!("e{index}"), "llm", store.clone(), &runs);
+        for index in 0..upstream_count {
+            engine::start(format!("d{index}"), "desk", restart, store.clone(), &runs);
+            engine::start(format!("e{index}"), "llm", restart, store.clone(), &runs);
         }
         let mut site = Self {
             store,
@@ -109,6 +119,59 @@
         assert!(other <= dispatches, "{path} {statuses:?}");
         dispatches
     }
+
+    /// Sends the crashing request at a steady rate, at host after host, and returns the number
+    /// of dispatches later than [`CONTACT`] after its third crash.
+    fn late_dispatches(&self, path: &str) -> usize {
+        let mut third_crash = None;
+        let mut in_time = self.crashes();
+        for host in self.hosts.iter().cycle().take(STEADY_ATTEMPTS) {
+            thread::sleep(STEADY_INTERVAL);
+            send(host, path, CRASHING);
+            let crashes = self.crashes();
+            if crashes >= 3 {
+                let since = third_crash.get_or_insert_with(Instant::now).elapsed();
+                in_time = if since <= CONTACT { crashes } else { in_time };
+            }
+        }
+        third_crash.map_or(0, |_| self.crashes() - in_time)
+    }
+
+    /// Sends a request every 20 ms until `is_over` and returns how many were sent and served.
+    fn send_proper(&self, path: &str, is_over: &AtomicBool) -> (usize, usize) {
+        let (mut sent, mut served) = (0, 0);
+        for host in self.hosts.iter().cycle() {
+            if is_over.load(Ordering::Relaxed) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(20));
+            sent += 1;
+            let answer = send(host, path, &format!("proper {sent}"));
+            served += usize::from(status(&answer) == 200);
+        }
+        (sent, served)
+    }
+
+    /// Sends the crashing request at a steady rate beside proper ones, and checks the number of
+    /// its late dispatches.
+    fn check_steady_caller(&self, path: &str, restart: Restart) {
+        let is_over = AtomicBool::new(false);
+        thread::scope(|scope| {
+            let proper = scope.spawn(|| self.send_proper(path, &is_over));
+            let late = self.late_dispatches(path);
+            is_over.store(true, Ordering::Relaxed);
+            let (sent, served) = proper.join().expect("the caller ends");
+            let crashes = self.crashes();
+            println!(
+                "event=steady path={path} restart={restart:?} crashes={crashes} late={late} \
+                 proper={sent} served={served}"
+            );
+            assert!(
+                late <= MAX_LATE_DISPATCHES,
+                "{path} {restart:?} {late} late"
+            );
+        });
+    }
 }
 
 /// Sends a request with a new attempt id and returns the raw answer.
@@ -195,3 +258,23 @@
         }
     }
 }
+
+#[test]
+#[ignore = "KNOWN-RED: an accepted connection clears an upstream of a crash"]
+fn crash_counts_although_the_address_goes_on_accepting_connections() {
+    for delay_ms in [20, 1_500] {
+        let restart = Restart::Accepting(Duration::from_millis(delay_ms));
+        let site = Site::start_with(4, 8, restart);
+        site.check_steady_caller("/look/", restart);
+    }
+}
+
+#[test]
+#[ignore = "KNOWN-RED: an accepted connection clears an upstream of a crash"]
+fn crash_counts_although_the_upstream_falls_silent() {
+    for path in ["/look/", "/book/"] {
+        let restart = Restart::Silent(Duration::from_millis(1_500));
+        let site = Site::start_with(4, 8, restart);
+        site.check_steady_caller(path, restart);
+    }
+}
--- a/crates/daemon/tests/site/wire.rs
+++ b/crates/daemon/tests/site/wire.rs
@@ -27,8 +27,8 @@
             route("draft", "streaming", "llm", true),
         ],
         "services": [
-            { "name": "desk", "max-connections": 10 },
-            { "name": "llm", "max-connections": 10, "engine": {
+            { "name": "desk", "health-path": "/health", "max-connections": 10 },
+            { "name": "llm", "health-path": "/health", "max-connections": 10, "engine": {
                 "slot-count": 8, "kv-cache-tokens": 1_000, "weights-mb": 10.0, "models": [model],
             } },
         ],
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -25,7 +25,7 @@
 mod wire;
 
 use caller::{Answer, Caller};
-use engine::{CRASHING, Runs};
+use engine::{CRASHING, Restart, Runs};
 use host::Host;
 use proxy::{FAULTS, Link, Mode};
 use rand::{RngExt, SeedableRng};
@@ -67,6 +67,8 @@
 const RUN_DURATION: Duration = Duration::from_millis(60);
 /// Number of upstreams that end when they run [`CRASHING`].
 const FRAGILE_COUNT: usize = 10;
+/// Time for which an upstream that has ended stays away.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Time after the last fault within which the hosts share what they know; the users'
 /// `contact-ms`.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -193,7 +195,14 @@
         }
         for index in 0..FRAGILE_COUNT {
             let name = format!("f{index}");
-            engine::start(name, "fragile", site.store.clone(), &site.fragile_runs);
+            let restart = Restart::Refusing(RESTART_DELAY);
+            engine::start(
+                name,
+                "fragile",
+                restart,
+                site.store.clone(),
+                &site.fragile_runs,
+            );
         }
         site.write_next_config();
         (0..HOST_COUNT).for_each(|_| site.add());
