Edge: each probe of an upstream has a log line and is counted

A probe that clears an upstream of a crash left no trace, so that the logs could not show why a crash was not counted. The line says what the probe found and how many broken dispatches still count. No decision changes.

--- a/crates/daemon/tests/crashing_request.rs
+++ b/crates/daemon/tests/crashing_request.rs
@@ -162,9 +162,17 @@
             is_over.store(true, Ordering::Relaxed);
             let (sent, served) = proper.join().expect("the caller ends");
             let crashes = self.crashes();
+            let logged = |text| {
+                self.hosts
+                    .iter()
+                    .map(|host| host.logged(text))
+                    .sum::<usize>()
+            };
             println!(
                 "event=steady path={path} restart={restart:?} crashes={crashes} late={late} \
-                 proper={sent} served={served}"
+                 proper={sent} served={served} probes={} noticed={}",
+                logged("event=upstream-probed"),
+                logged("event=upstream-crashed"),
             );
             assert!(
                 late <= MAX_LATE_DISPATCHES,
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -23,12 +23,19 @@
     }
     let remote = Remote {
         address: target.address,
-        name: target.name,
+        name: target.name.clone(),
     };
     let mut unanswered = 0;
     while shared.gate.borrow().may_have_crashed(target.id) && unanswered < MAX_UNANSWERED_PROBES {
         let opened = shared.clock.now();
-        match shared.client.probe(remote.clone()).await {
+        let broken_before = shared.gate.borrow().broken_count(target.id);
+        let probe = shared.client.probe(remote.clone()).await;
+        let finding = match &probe {
+            Probe::Refused => "refused",
+            Probe::Accepted(_) => "accepted",
+            Probe::Unknown => "unanswered",
+        };
+        match probe {
             Probe::Refused => {
                 let now = shared.clock.now();
                 shared
@@ -46,6 +53,16 @@
             }
             Probe::Unknown => unanswered += 1,
         }
+        let broken_after = shared.gate.borrow().broken_count(target.id);
+        shared.metrics.record_probe(finding);
+        journal!(
+            info,
+            "upstream-probed",
+            upstream = target.name,
+            finding = finding,
+            broken_before = broken_before,
+            broken_after = broken_after,
+        );
         shared.probe_ended.notify_waiters();
         time::sleep(PROBE_INTERVAL).await;
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -37,6 +37,11 @@
     sign: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ProbeLabels {
+    finding: &'static str,
+}
+
 /// Registers a metric under a name and returns it.
 pub fn registered<M: Metric + Clone>(
     registry: &mut Registry,
@@ -56,6 +61,7 @@
     store_calls: Family<CallLabels, Counter>,
     orders: Family<CallLabels, Counter>,
     upstream_crashes: Family<CrashLabels, Counter>,
+    upstream_probes: Family<ProbeLabels, Counter>,
     first_event_seconds: Histogram,
     request_seconds: Histogram,
     /// Number of admitted requests without a final answer.
@@ -106,6 +112,12 @@
                 "Crashes of upstreams with requests of this host in flight, by how they were noticed",
                 Family::default(),
             ),
+            upstream_probes: registered(
+                &mut registry,
+                "upstream_probes",
+                "Probes of upstreams on which a dispatch broke, by what they found",
+                Family::default(),
+            ),
             suspected_requests: registered(
                 &mut registry,
                 "suspected_requests",
@@ -189,6 +201,13 @@
             .inc();
     }
 
+    /// Counts a probe of an upstream, by what it found.
+    pub fn record_probe(&self, finding: &'static str) {
+        self.upstream_probes
+            .get_or_create(&ProbeLabels { finding })
+            .inc();
+    }
+
     /// Counts an order and its outcome.
     pub fn record_order(&self, operation: &'static str, answered: &'static str) {
         self.orders
--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -141,6 +141,13 @@
         broken.retain(|(time, _)| *time > opened);
     }
 
+    /// Number of broken dispatches to an upstream that would count if it were found to have
+    /// ended.
+    #[must_use]
+    pub fn broken_count(&self, id: UpstreamId) -> usize {
+        self.upstreams.get(id).crash.broken.len()
+    }
+
     /// Records a signed answer to a dispatch made at `dispatched_at`. If the upstream was taken
     /// for ended then, its crash is withdrawn.
     pub fn record_answer(&mut self, now: Time, id: UpstreamId, dispatched_at: Time) {
