Gate, edge: an upstream that asks for a rest gets no requests until it is over

Callers saw: after an upstream had answered 503 with Retry-After, the host went on sending to it, and told a refused caller a time of its own to come back.

Cause: the header of an upstream was never read.

Change: the rest is read from any answer, requests, health checks, reports and orders alike, and the upstream is no candidate until then. Requests that only resting upstreams could run wait if their deadline allows it, and are refused at once with the time that is left if not. They return by rank and arrival, at a rate that doubles each 50 ms. A rest ends with the incarnation and is bounded at ten minutes.

Measured: with a real host and one upstream the test saw the second request reach the upstream before (200, wanted 503); now none of six within the rest, and the next one that may wait is served. In virtual time no dispatch of 9 hosts over 6 s falls into a rest. Not shared between hosts, as each upstream tells each host its own.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -85,6 +85,9 @@
         Draining = "draining",
         /// The upstream refused the request before running it.
         UpstreamRefused = "upstream-refused",
+        /// Every upstream that could run the request has asked for no requests until after its
+        /// deadline.
+        UpstreamResting = "upstream-resting",
         /// The caller closed its connection before the request was sent to an upstream.
         CallerGone = "caller-gone",
     }
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -4,6 +4,7 @@
     client::{Connection, Probe, Remote},
     journal::journal,
     shared::Shared,
+    signs::{self, Asked},
     suspects,
 };
 use mulberryrack_core::{Name, Time};
@@ -52,24 +53,31 @@
     shared.gate.borrow().needs_probe(now, id)
 }
 
-async fn ask<D: Dialect>(shared: &Shared<D>, target: &Target) -> Finding {
+async fn ask<D: Dialect>(shared: &Rc<Shared<D>>, target: &Target) -> Finding {
     let remote = Remote {
         address: target.address,
         name: target.name.clone(),
     };
     match shared.client.probe(remote).await {
         Probe::Refused => Finding::Refused,
-        Probe::Accepted(connection) => identify(shared, target.id, connection).await,
+        Probe::Accepted(connection) => identify(shared, target, connection).await,
         Probe::Unknown => Finding::Unanswered,
     }
 }
 
 async fn identify<D: Dialect>(
-    shared: &Shared<D>,
-    id: UpstreamId,
+    shared: &Rc<Shared<D>>,
+    target: &Target,
     connection: Connection,
 ) -> Finding {
-    let Some(path) = shared.gate.borrow().health_path(id) else {
+    let at = shared.clock.now();
+    let path = {
+        let gate = shared.gate.borrow();
+        let path = gate.health_path(target.id);
+        path.filter(|_| !gate.is_resting(at, target.id))
+    };
+    let asked = shared.gate.borrow().find(&target.name);
+    let (Some(path), Some((id, incarnation))) = (path, asked) else {
         connection.return_to_pool(None);
         return Finding::Unanswered;
     };
@@ -79,8 +87,16 @@
         return Finding::Unanswered;
     };
     let (head, _) = answer.into_parts();
-    let name = shared.dialect.read_reply_head(&head).upstream;
-    name.map_or(Finding::Unanswered, Finding::Identified)
+    let reply = shared.dialect.read_reply_head(&head);
+    let asked = Asked {
+        id,
+        incarnation,
+        at,
+    };
+    signs::record_wishes(shared, asked, &reply);
+    reply
+        .upstream
+        .map_or(Finding::Unanswered, Finding::Identified)
 }
 
 fn record_finding<D>(shared: &Shared<D>, target: &Target, asked: Time, finding: &Finding) {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -9,6 +9,7 @@
     notices,
     peers::{self, PlannerLink},
     shared::Shared,
+    signs::{self, Asked},
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header, request, response, uri::PathAndQuery};
@@ -427,18 +428,12 @@
         };
         let reply = self.shared.dialect.read_reply_head(&response);
         self.record_activity(target);
-        if let Some(name) = &reply.upstream {
-            let answered_at = self.shared.clock.now();
-            let mut gate = self.shared.gate.borrow_mut();
-            gate.record_identity(answered_at, target.id, name, now);
-        }
-        if let Some(load) = reply.load {
-            let now = self.shared.clock.now();
-            self.shared
-                .gate
-                .borrow_mut()
-                .record_load(now, target.id, load);
-        }
+        let asked = Asked {
+            id: target.id,
+            incarnation: state.incarnation(),
+            at: now,
+        };
+        signs::record(&self.shared, asked, &reply);
         if reply
             .attempt_id
             .as_ref()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod refusals;
 mod registration;
 mod shared;
+mod signs;
 mod socket;
 mod store;
 mod suspects;
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -6,12 +6,15 @@
     journal::journal,
     notices,
     shared::Shared,
+    signs::{self, Asked},
 };
+use bytes::Bytes;
+use http::Response;
 use mulberryrack_core::Name;
 use mulberryrack_fleet::{ClaimState, Demand, PlannedOrder};
 use mulberryrack_gate::ModelChange;
 use mulberryrack_site::{
-    Dialect, Order,
+    Dialect, Order, Upstream,
     order::{Action, OrderOutcome},
 };
 use std::{rc::Rc, time::Duration};
@@ -59,10 +62,18 @@
     let now = shared.clock.now();
     let engines: Vec<Remote> = {
         let planner = shared.planner.borrow();
-        let remotes = planner.engines_to_query(now).map(|entry| Remote {
-            address: entry.address,
-            name: entry.id.clone(),
-        });
+        let gate = shared.gate.borrow();
+        let is_resting = |entry: &&Upstream| {
+            gate.find(&entry.id)
+                .is_some_and(|(id, _)| gate.is_resting(now, id))
+        };
+        let queried = planner.engines_to_query(now);
+        let remotes = queried
+            .filter(|entry| !is_resting(entry))
+            .map(|entry| Remote {
+                address: entry.address,
+                name: entry.id.clone(),
+            });
         remotes.collect()
     };
     for remote in engines {
@@ -73,12 +84,16 @@
 
 /// Asks an engine for a report. If it completes the load of a model, the model is announced
 /// to the other hosts.
-async fn query_engine<D: Dialect>(shared: &Shared<D>, remote: Remote) {
+async fn query_engine<D: Dialect>(shared: &Rc<Shared<D>>, remote: Remote) {
     let request = shared.dialect.report_call(&remote.name);
     let name = remote.name.clone();
+    let asked = asked(shared, &name);
     let answer = shared.client.call(remote, request, CALL_TIMEOUT).await;
     let report = match answer {
-        Ok(answer) => shared.dialect.report_answer(&answer),
+        Ok(answer) => {
+            let answer = record_wishes(shared, asked, answer);
+            shared.dialect.report_answer(&answer)
+        }
         Err(fault) => {
             journal!(
                 debug,
@@ -107,6 +122,32 @@
     }
 }
 
+/// What is known of an engine that is about to be called.
+fn asked<D>(shared: &Shared<D>, engine: &str) -> Option<Asked> {
+    let (id, incarnation) = shared.gate.borrow().find(engine)?;
+    let at = shared.clock.now();
+    Some(Asked {
+        id,
+        incarnation,
+        at,
+    })
+}
+
+/// Records what an engine's answer to a call of this host says about the requests that it
+/// wants.
+fn record_wishes<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    asked: Option<Asked>,
+    answer: Response<Bytes>,
+) -> Response<Bytes> {
+    let (head, body) = answer.into_parts();
+    if let Some(asked) = asked {
+        let reply = shared.dialect.read_reply_head(&head);
+        signs::record_wishes(shared, asked, &reply);
+    }
+    Response::from_parts(head, body)
+}
+
 /// Sends an order and records its outcome. Announces an unload to the other hosts before it
 /// is sent, and takes the announcement back if the engine certainly does not carry it out.
 /// Announces an adapter as soon as the engine accepts the order to load it.
@@ -168,7 +209,7 @@
 }
 
 /// Sends an order, if this host may give orders at the moment when the connection is open.
-async fn send<D: Dialect>(shared: &Shared<D>, planned: &PlannedOrder) -> OrderOutcome {
+async fn send<D: Dialect>(shared: &Rc<Shared<D>>, planned: &PlannedOrder) -> OrderOutcome {
     let Some(address) = shared.planner.borrow().address(&planned.engine) else {
         return OrderOutcome::NotSent;
     };
@@ -180,7 +221,13 @@
     let Ok(connection) = connected else {
         return OrderOutcome::NotSent;
     };
+    let asked = asked(shared, &planned.engine);
     let now = shared.clock.now();
+    let is_resting = |asked: &Asked| shared.gate.borrow().is_resting(now, asked.id);
+    if asked.as_ref().is_some_and(is_resting) {
+        connection.return_to_pool(None);
+        return OrderOutcome::NotSent;
+    }
     let (state, fence) = {
         let claim = shared.claim.borrow();
         (claim.state(now), claim.fence())
@@ -201,7 +248,10 @@
     let request = shared.dialect.order_call(&order);
     let answer = time::timeout(CALL_TIMEOUT, connection.round_trip(request));
     match answer.await.unwrap_or(Err(Fault::Silent)) {
-        Ok(answer) => shared.dialect.order_answer(&answer),
+        Ok(answer) => {
+            let answer = record_wishes(shared, asked, answer);
+            shared.dialect.order_answer(&answer)
+        }
         Err(Fault::NotSent) => OrderOutcome::NotSent,
         Err(Fault::Broken | Fault::Silent) => OrderOutcome::Unanswered,
     }
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -27,13 +27,27 @@
 }
 
 impl Gate {
-    /// Upstreams that accept requests and have what the request needs, without the
-    /// upstreams that the request excludes.
+    /// Upstreams that accept requests, do not rest and have what the request needs, without
+    /// the upstreams that the request excludes.
     fn eligible<'a>(
         &'a self,
         now: Time,
         request: &'a RequestState,
     ) -> impl Iterator<Item = UpstreamId> + 'a {
+        let is_excluded = |id: &UpstreamId| request.excluded.contains(id);
+        self.suitable(now, request)
+            .filter(move |(id, upstream)| {
+                !is_excluded(id) && upstream.places_after_rest(now) != Some(0)
+            })
+            .map(|(id, _)| id)
+    }
+
+    /// Upstreams that accept requests and have what the request needs.
+    pub(crate) fn suitable<'a>(
+        &'a self,
+        now: Time,
+        request: &'a RequestState,
+    ) -> impl Iterator<Item = (UpstreamId, &'a UpstreamState)> + 'a {
         let generation = request.head.generation.as_ref();
         let fits = move |upstream: &UpstreamState| {
             upstream.accepts_requests()
@@ -42,8 +56,7 @@
                     .is_none_or(|it| upstream.has_model(now, &it.model, it.adapter.as_deref()))
         };
         let all = self.upstreams.iter();
-        all.filter(move |(id, upstream)| !request.excluded.contains(id) && fits(upstream))
-            .map(|(id, _)| id)
+        all.filter(move |(_, upstream)| fits(upstream))
     }
 
     /// Whether an eligible upstream other than `id` is not in its cooldown.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -8,6 +8,7 @@
     crash::CrashReport,
     read_time::ReadTimes,
     request::{Decision, Ending, RequestState, Target},
+    rest::RestQueue,
     tuning::Tuning,
     upstreams::{EVENT_INTERVAL, UpstreamId, Upstreams},
 };
@@ -129,6 +130,7 @@
     pub(crate) read_times: ReadTimes,
     /// Notices that have not been sent to the other hosts yet.
     prompt_notices: Vec<PromptNotice>,
+    pub(crate) rest_queue: RestQueue,
     pub(crate) suspects: Suspects,
     /// Requests that have recently run to their end.
     pub(crate) completions: Completions,
@@ -145,6 +147,7 @@
     #[must_use]
     pub fn new(tuning: Tuning, seed: u64) -> Self {
         Self {
+            rest_queue: RestQueue::default(),
             suspects: Suspects::new(tuning.suspect_limits),
             completions: Completions::default(),
             crash_reports: Vec::new(),
@@ -263,6 +266,19 @@
         all.any(|(_, upstream)| upstream.accepts_requests() && upstream.has_model(now, model, None))
     }
 
+    /// Name of an upstream.
+    #[must_use]
+    pub fn name(&self, id: UpstreamId) -> Name {
+        self.upstreams.get(id).registration.id.clone()
+    }
+
+    /// Key and known incarnation of the upstream with a name.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<(UpstreamId, u64)> {
+        let id = self.upstreams.find(name)?;
+        Some((id, self.upstreams.get(id).registration.started_ms))
+    }
+
     /// The registrations of all upstreams that are registered now.
     pub fn registered(&self) -> impl Iterator<Item = &Upstream> {
         let registered = self
@@ -348,6 +364,7 @@
             stream_begun: false,
             was_held: false,
             held_at: None,
+            rest_turn: None,
         })
     }
 
@@ -406,7 +423,8 @@
                 request.excluded.clear();
                 return Decision::Hold(now + RESUME_RETRY_DELAY);
             }
-            return self.decide_without_upstream(now, request);
+            let rest = self.rest_decision(now, request);
+            return rest.unwrap_or_else(|| self.decide_without_upstream(now, request));
         };
         match self.blocking_decision(now, request, &candidate) {
             Some(decision) => decision,
@@ -438,6 +456,9 @@
                 refuse_or_fail(request, Reason::UpstreamRefused, Some(REFUSED_RETRY_DELAY));
             return Some(decision);
         }
+        if let Some(decision) = self.turn_decision(now, request, candidate.id) {
+            return Some(decision);
+        }
         if let Some(decision) = self.admission_decision(now, request, candidate) {
             return Some(decision);
         }
@@ -466,6 +487,7 @@
         if !request.tried.contains(&candidate.id) {
             request.tried.push(candidate.id);
         }
+        self.record_place_taken(now, candidate.id);
         let is_suspect = self.suspects.is_suspect(request.fingerprint);
         request.suspect_at = is_suspect.then_some(candidate.id);
         let upstream = self.upstreams.get_mut(candidate.id);
@@ -556,9 +578,10 @@
         ))
     }
 
-    /// Removes a request from the requests held for an engine, if the request is held. Called
-    /// when the request is decided on again and when its caller has gone away.
+    /// Removes a request from the requests that are held back, if it is. Called when the request
+    /// is decided on again and when its caller has gone away.
     pub fn end_hold(&mut self, request: &mut RequestState) {
+        self.leave_rest_queue(request);
         if let Some((id, read_ms)) = request.held_at.take() {
             let upstream = self.upstreams.get_mut(id);
             upstream.held_read_ms = (upstream.held_read_ms - read_ms).max(0.0);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -28,6 +28,7 @@
 mod gate;
 mod read_time;
 mod request;
+mod rest;
 mod tuning;
 mod upstreams;
 
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -52,6 +52,8 @@
     /// The engine that the request is held for now, and the time to read its prompt there
     /// in milliseconds.
     pub(crate) held_at: Option<(UpstreamId, f64)>,
+    /// Place among the requests that wait for the end of a rest; `None` if it does not wait.
+    pub(crate) rest_turn: Option<(u8, Time, u64)>,
     /// Prefixes of the prompt; empty for plain services.
     pub(crate) prefix_chain: PrefixChain,
 }
@@ -74,6 +76,12 @@
         }
     }
 
+    /// Incarnation of the upstream to which the request was last dispatched.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Whether the host can truthfully answer that the request has not run.
     #[must_use]
     pub const fn certainly_not_run(&self) -> bool {
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -1,6 +1,8 @@
 //! What a host knows about each upstream.
 
-use crate::{cache::PrefixCache, crash::CrashState, gate::ModelChange, request::Ending};
+use crate::{
+    cache::PrefixCache, crash::CrashState, gate::ModelChange, request::Ending, rest::Rest,
+};
 use mulberryrack_core::{Name, Time};
 use mulberryrack_site::upstream::{LoadReport, State, Upstream};
 use std::{collections::BTreeMap, time::Duration};
@@ -57,6 +59,8 @@
     model_changes: Vec<(ModelChange, Time)>,
     /// Signs of a crash, and suspected requests.
     pub crash: CrashState,
+    /// The last rest that the incarnation asked for, until its return is no longer paced.
+    pub rest: Option<Rest>,
 }
 
 impl UpstreamState {
@@ -76,6 +80,7 @@
             next_cooldown: MIN_COOLDOWN_PERIOD,
             model_changes: Vec::new(),
             crash: CrashState::default(),
+            rest: None,
         }
     }
 
--- a/crates/site/src/upstream.rs
+++ b/crates/site/src/upstream.rs
@@ -117,4 +117,7 @@
     pub keep_alive: Option<Duration>,
     /// Whether the upstream closes the connection after this answer.
     pub close: bool,
+    /// How long the upstream, which turned the request away, wants no other one from this host;
+    /// `None` if it did not say so.
+    pub rest: Option<Duration>,
 }
