Gate, fleet, edge: an upstream that says that it leaves gets nothing new

Cause: leaving was read from the entry in the key-value service only.

Change: the sign is read from any answer, requests, health checks, reports and orders alike. It holds for the incarnation, whatever an earlier heartbeat says, in the routing as in the planner, which loads the models elsewhere that only this engine has. The other hosts are told by a datagram, once for each host that learns of it from the upstream itself.

--- a/crates/daemon/tests/upstream_signs.rs
+++ b/crates/daemon/tests/upstream_signs.rs
@@ -1,4 +1,5 @@
-//! What upstreams say about themselves in their answers: that they want no requests for a while.
+//! What upstreams say about themselves in their answers: that they want no requests for a while,
+//! and that they are leaving.
 
 #[allow(dead_code)]
 #[path = "site/host.rs"]
@@ -14,9 +15,9 @@
 mod wire;
 
 use host::{Host, exchange, status};
-use std::{io::Write, net::TcpStream};
+use std::{io::Write, net::TcpStream, thread, time::Duration};
 use store::Store;
-use upstream::{Request, Upstream, answer};
+use upstream::{Request, Upstream, answer, head};
 use wire::{config, entry};
 
 fn start(upstreams: &[(&str, &Upstream)]) -> Host {
@@ -74,3 +75,36 @@
     assert_eq!(host.logged("event=upstream-rests"), 1);
     host.wait_until(|host| host.logged("event=upstream-rest-over") == 1);
 }
+
+#[test]
+fn upstream_that_says_that_it_leaves_gets_no_further_request() {
+    let leaving = |request: &Request, stream: &mut TcpStream| {
+        let more = "Server-Leaving: 1\r\nConnection: close\r\nContent-Length: 5\r\n";
+        let _ = stream.write_all((head(request, more) + "whole").as_bytes());
+    };
+    let (one, two) = (Upstream::start(leaving), Upstream::start(answer));
+    let host = &start(&[("d0", &one), ("d1", &two)]);
+    let other = &Host::start_with(host.store.second_address());
+    let query = "GET /mulberryrack/resolve?name=x&region=r&zone=a HTTP/1.1\r\n\
+                 Host: x\r\nConnection: close\r\n\r\n";
+    let known = other.callers.to_string();
+    host.wait_until(|host| exchange(host.directory, query).contains(&known));
+    let mut attempts = 0;
+    while one.seen().is_empty() {
+        attempts += 1;
+        assert!(attempts < 100, "the leaving one is never chosen");
+        let served = send(host, 2_500, "x");
+        assert_eq!(status(&served), 200);
+        assert_eq!(header(&served, "Server-Leaving"), None);
+    }
+    // A heartbeat that was written before the upstream decided to leave.
+    host.store
+        .write("servers/d0", &entry("desk", one.address, "ready"));
+    thread::sleep(Duration::from_millis(500));
+    other.wait_until(|other| other.logged("event=upstream-leaves id=d0 told_by=host") == 1);
+    for host in [host, other].iter().cycle().take(30) {
+        assert_eq!(status(&send(host, 2_500, "x")), 200);
+    }
+    assert_eq!(one.seen().len(), 0);
+    assert_eq!(host.logged("event=upstream-leaves id=d0 told_by=answer"), 1);
+}
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -93,7 +93,7 @@
         incarnation,
         at,
     };
-    signs::record_wishes(shared, asked, &reply);
+    signs::record_availability(shared, asked, &reply);
     reply
         .upstream
         .map_or(Finding::Unanswered, Finding::Identified)
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -1,7 +1,7 @@
 //! Datagrams between hosts: prompts that a host sends to engines, changes of the models that
-//! engines have in memory, and evidence on requests that crash upstreams.
+//! engines have in memory, upstreams that leave, and evidence on requests that crash upstreams.
 
-use crate::{journal::journal, shared::Shared, suspects};
+use crate::{journal::journal, shared::Shared, signs, suspects};
 use mulberryrack_gate::{ModelChange, PromptNotice};
 use mulberryrack_wire::plan::{self, datagram::Body};
 use prost::Message;
@@ -40,6 +40,16 @@
     shared.changed.notify_waiters();
 }
 
+/// Tells the other hosts that an upstream is leaving; above all the one that gives orders, so
+/// that it has the models loaded elsewhere that only this upstream has.
+pub fn announce_leaving<D>(shared: &Shared<D>, upstream: &str, incarnation: u64) {
+    let message = plan::Leaving {
+        upstream: upstream.to_owned(),
+        incarnation,
+    };
+    broadcast(shared, Body::Leaving(message));
+}
+
 /// Sends a datagram to all other hosts. A datagram that cannot be sent is dropped.
 fn broadcast<D>(shared: &Shared<D>, body: Body) {
     let bytes = plan::Datagram { body: Some(body) }.encode_to_vec();
@@ -103,6 +113,12 @@
             shared.gate.borrow_mut().record_change(now, &change);
             shared.changed.notify_waiters();
         }
+        Some(Body::Leaving(message)) => {
+            let known = shared.gate.borrow().find(&message.upstream);
+            if let Some((id, _)) = known {
+                signs::record_leaving(shared, id, message.incarnation, "host");
+            }
+        }
         Some(Body::Suspects(message)) => suspects::receive(shared, message, sender),
         // A kind of datagram that only later versions of the program know.
         None => {}
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -91,7 +91,7 @@
     let answer = shared.client.call(remote, request, CALL_TIMEOUT).await;
     let report = match answer {
         Ok(answer) => {
-            let answer = record_wishes(shared, asked, answer);
+            let answer = record_availability(shared, asked, answer);
             shared.dialect.report_answer(&answer)
         }
         Err(fault) => {
@@ -134,8 +134,8 @@
 }
 
 /// Records what an engine's answer to a call of this host says about the requests that it
-/// wants.
-fn record_wishes<D: Dialect>(
+/// still takes.
+fn record_availability<D: Dialect>(
     shared: &Rc<Shared<D>>,
     asked: Option<Asked>,
     answer: Response<Bytes>,
@@ -143,7 +143,7 @@
     let (head, body) = answer.into_parts();
     if let Some(asked) = asked {
         let reply = shared.dialect.read_reply_head(&head);
-        signs::record_wishes(shared, asked, &reply);
+        signs::record_availability(shared, asked, &reply);
     }
     Response::from_parts(head, body)
 }
@@ -249,7 +249,7 @@
     let answer = time::timeout(CALL_TIMEOUT, connection.round_trip(request));
     match answer.await.unwrap_or(Err(Fault::Silent)) {
         Ok(answer) => {
-            let answer = record_wishes(shared, asked, answer);
+            let answer = record_availability(shared, asked, answer);
             shared.dialect.order_answer(&answer)
         }
         Err(Fault::NotSent) => OrderOutcome::NotSent,
--- a/crates/edge/src/signs.rs
+++ b/crates/edge/src/signs.rs
@@ -1,10 +1,10 @@
 //! What the head of an upstream's answer says about the upstream itself, whatever was asked.
 
-use crate::{crashes, journal::journal, shared::Shared};
+use crate::{crashes, journal::journal, notices, shared::Shared};
 use mulberryrack_core::Time;
 use mulberryrack_gate::UpstreamId;
-use mulberryrack_site::upstream::ReplyHead;
-use std::rc::Rc;
+use mulberryrack_site::upstream::{Availability, ReplyHead};
+use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 
 /// What was sent to an upstream, and when.
@@ -28,22 +28,46 @@
         gate.record_identity(now, asked.id, name, asked.at);
     }
     crashes::report(shared);
-    record_wishes(shared, asked, reply);
+    record_availability(shared, asked, reply);
 }
 
-/// Records what an upstream says about the requests that it wants, in any answer.
-pub fn record_wishes<D: 'static>(shared: &Rc<Shared<D>>, asked: Asked, reply: &ReplyHead) {
+/// Records what any answer of an upstream says about the requests that it still takes.
+pub fn record_availability<D: 'static>(shared: &Rc<Shared<D>>, asked: Asked, reply: &ReplyHead) {
     let name = shared.gate.borrow().name(asked.id);
     let is_other = reply.upstream.as_ref().is_some_and(|other| *other != name);
-    if !is_other {
-        record_rest(shared, asked, reply);
+    if is_other {
+        return;
+    }
+    let Availability { rest, leaving } = reply.availability;
+    if let Some(period) = rest {
+        record_rest(shared, asked, period);
+    }
+    if leaving && record_leaving(shared, asked.id, asked.incarnation, "answer") {
+        notices::announce_leaving(shared, &name, asked.incarnation);
     }
 }
 
-fn record_rest<D: 'static>(shared: &Rc<Shared<D>>, asked: Asked, reply: &ReplyHead) {
-    let Some(period) = reply.rest else {
-        return;
-    };
+/// Records that an incarnation of an upstream is leaving. Returns whether that is news.
+pub fn record_leaving<D>(
+    shared: &Shared<D>,
+    id: UpstreamId,
+    incarnation: u64,
+    told_by: &str,
+) -> bool {
+    let is_news = shared.gate.borrow_mut().record_leaving(id, incarnation);
+    if is_news {
+        let name = shared.gate.borrow().name(id);
+        shared
+            .planner
+            .borrow_mut()
+            .record_leaving(&name, incarnation);
+        journal!(info, "upstream-leaves", id = name, told_by = told_by);
+        shared.changed.notify_waiters();
+    }
+    is_news
+}
+
+fn record_rest<D: 'static>(shared: &Rc<Shared<D>>, asked: Asked, period: Duration) {
     let now = shared.clock.now();
     let until = {
         let mut gate = shared.gate.borrow_mut();
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -245,7 +245,8 @@
             info,
             "upstream-leaves",
             id = id,
-            revision = entry.revision.0
+            told_by = "store",
+            revision = entry.revision.0,
         );
     }
     let now = shared.clock.now();
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -47,6 +47,9 @@
 pub struct EngineState {
     pub registration: Upstream,
     pub registered: bool,
+    /// Whether the incarnation has said that it is leaving, which its registration may not
+    /// show yet.
+    leaving: bool,
     /// Models in the engine's memory with their adapters, including adapters being loaded.
     pub models: BTreeMap<Name, Vec<Name>>,
     /// Models that may occupy memory: all models that were reported or ordered, until the engine
@@ -90,6 +93,7 @@
             accepted_orders: None,
             registration,
             registered: true,
+            leaving: false,
             open_order: None,
             busy: false,
             reported_at: None,
@@ -101,7 +105,12 @@
 
     /// Whether the engine accepts new requests and orders.
     pub fn accepts_requests(&self) -> bool {
-        self.registered && self.registration.state == State::Ready
+        self.registered && !self.leaving && self.registration.state == State::Ready
+    }
+
+    /// Records that an incarnation of the engine said that it is leaving.
+    pub fn record_leaving(&mut self, incarnation: u64) {
+        self.leaving |= self.registration.started_ms == incarnation;
     }
 
     /// Whether the engine can load the model without the weight store.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Records that an incarnation of an upstream said that it is leaving. The models that only
+    /// it has in memory are loaded elsewhere from now on.
+    pub fn record_leaving(&mut self, engine: &str, incarnation: u64) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.record_leaving(incarnation);
+        }
+    }
+
     /// Records an engine's report. Returns the model whose load, ordered by this host, is
     /// now complete.
     pub fn record_report(&mut self, now: Time, engine: &str, report: &Report) -> Option<Name> {
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -359,3 +359,22 @@
     deployment.now = deployment.now + Duration::from_secs(6);
     assert!(!deployment.planner.plan(deployment.now).is_empty());
 }
+
+#[test]
+fn the_only_copies_of_an_engine_that_says_that_it_leaves_are_loaded_elsewhere() {
+    let mut deployment = Deployment::new(7, 0, &[&[0, 1], &[0, 3], &[2], &[4, 5, 6]]);
+    deployment.planner.record_leaving("e03", 0);
+    for _ in 0..12 {
+        deployment.run_cycle();
+    }
+    let leaving = name("e03");
+    for model in ["m4", "m5", "m6"] {
+        let elsewhere = deployment
+            .engines
+            .iter()
+            .filter(|(id, engine)| **id != leaving && engine.models.contains_key(model));
+        assert!(elsewhere.count() >= 1, "{model}");
+    }
+    let mut ordered = deployment.issued.iter();
+    assert!(ordered.all(|order| order.engine != leaving));
+}
--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -16,7 +16,7 @@
     Name, Time, hash,
     outcome::{Reason, Refusal},
 };
-use mulberryrack_site::{Upstream, upstream::State};
+use mulberryrack_site::Upstream;
 use mulberryrack_suspect::{Crash, Suspects};
 use std::{collections::VecDeque, time::Duration};
 
@@ -130,8 +130,7 @@
     /// Whether the end of the upstream would be a crash with requests of this host in flight.
     /// An upstream that drains ends as planned.
     fn may_crash_with_requests(&self, now: Time) -> bool {
-        let broke =
-            self.registration.state == State::Ready && self.crash.unexplained(now).next().is_some();
+        let broke = !self.is_leaving() && self.crash.unexplained(now).next().is_some();
         broke || (self.accepts_requests() && self.in_flight > 0)
     }
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -208,6 +208,15 @@
         is_new
     }
 
+    /// Records that an incarnation of an upstream said that it is leaving. Returns whether that
+    /// is news.
+    pub fn record_leaving(&mut self, id: UpstreamId, incarnation: u64) -> bool {
+        let upstream = self.upstreams.get_mut(id);
+        let is_news = upstream.registration.started_ms == incarnation && !upstream.is_leaving();
+        upstream.leaving |= is_news;
+        is_news
+    }
+
     /// Records that an upstream's registration was removed.
     pub fn deregister(&mut self, name: &str) {
         self.upstreams.deregister(name);
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -32,6 +32,9 @@
     pub registration: Upstream,
     /// Whether the registration is still in the key-value service.
     pub registered: bool,
+    /// Whether the incarnation has said that it is leaving, which its registration may not
+    /// show yet.
+    pub leaving: bool,
     /// Requests of this host that are at the upstream.
     pub in_flight: u32,
     /// Time at which the engine will have read all prompts known to this host, as
@@ -68,6 +71,7 @@
         Self {
             registration,
             registered: true,
+            leaving: false,
             in_flight: 0,
             reading_until: Time::ZERO,
             reading_since: Time::ZERO,
@@ -92,7 +96,12 @@
 
     /// Whether the upstream accepts new requests.
     pub fn accepts_requests(&self) -> bool {
-        self.registered && self.registration.state == State::Ready
+        self.registered && !self.is_leaving()
+    }
+
+    /// Whether the upstream will end as planned.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.registration.state == State::Draining
     }
 
     /// Whether the engine has the model and, if one is given, the adapter in memory.
--- a/crates/site/src/upstream.rs
+++ b/crates/site/src/upstream.rs
@@ -117,7 +117,16 @@
     pub keep_alive: Option<Duration>,
     /// Whether the upstream closes the connection after this answer.
     pub close: bool,
-    /// How long the upstream, which turned the request away, wants no other one from this host;
-    /// `None` if it did not say so.
+    /// Which requests the upstream takes from now on.
+    pub availability: Availability,
+}
+
+/// Which requests an upstream says in an answer that it takes from now on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Availability {
+    /// Time for which the upstream, which turned the request away, wants no other one from this
+    /// host; `None` if it did not say so.
     pub rest: Option<Duration>,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
 }
