--- a/crates/core/src/kv.rs
+++ b/crates/core/src/kv.rs
@@ -14,6 +14,13 @@
 )]
 pub struct Revision(pub u64);
 
+/// Counts how often the service came back from an older copy of itself. What was written since
+/// the copy is gone then, leases too, and revisions are given out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Era(pub u64);
+
 /// A lease granted by the service; entries bound to the lease are deleted when it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Lease(pub u64);
--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -3,6 +3,7 @@
 
 #[path = "site/host.rs"]
 mod host;
+#[allow(dead_code)]
 #[path = "site/store.rs"]
 mod store;
 #[path = "site/upstream.rs"]
@@ -361,7 +362,9 @@
     host.signal("TERM");
     assert_eq!(status(&running.join().expect("an answer")), 200);
     host.wait_until(|host| get_status(host.readiness, "/mulberryrack/ready") == 503);
-    host.wait_until(|host| !host.store.has("mulberryrack/"));
+    // The era in which the deployment began outlasts all hosts.
+    let lasting = ["mulberryrack/first-era"];
+    host.wait_until(|host| !host.store.has_besides("mulberryrack/", &lasting));
     assert_eq!(get_status(host.directory, resolve), 503);
     // A caller that still uses an old address answer is served.
     assert_eq!(status(&send(&host, "POST", "/book/2", "", "x")), 200);
--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -1,5 +1,5 @@
 //! A stand-in for the platform's key-value service, with items, leases that never expire,
-//! conditional writes and watches.
+//! conditional writes and watches. It can go back to a copy of itself, which begins an era.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
@@ -13,19 +13,24 @@
     thread,
     time::{Duration, Instant},
 };
-use tiny_http::{Request, Response, Server};
+use tiny_http::{Header, Request, Response, Server};
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Items {
     revision: u64,
     entries: BTreeMap<String, (Vec<u8>, u64, u64)>,
     /// All changes, in the form in which a watch returns them.
     history: Vec<Value>,
     leases: u64,
+    era: u64,
     /// Number of answered renewals of each lease.
     renewals: BTreeMap<u64, u32>,
 }
 
+/// What the service held at a moment.
+#[derive(Clone)]
+pub struct Copy(Items);
+
 /// The running service. The methods write to it as the operator and the engines do.
 #[derive(Clone)]
 pub struct Store {
@@ -81,6 +86,32 @@
         items.revision
     }
 
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.0.lock().expect("unpoisoned").clone())
+    }
+
+    /// Loses everything that was written since the copy, leases too. Revisions and numbers of
+    /// leases are given out again.
+    pub fn go_back(&self, copy: &Copy) {
+        let (items, changed) = &*self.state;
+        let mut items = items.lock().expect("unpoisoned");
+        let era = items.era + 1;
+        *items = copy.0.clone();
+        items.era = era;
+        changed.notify_all();
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.state.0.lock().expect("unpoisoned").revision
+    }
+
+    /// Revision of a key, and its value as text.
+    pub fn get(&self, key: &str) -> Option<(u64, String)> {
+        let items = self.state.0.lock().expect("unpoisoned");
+        let (value, revision, _) = items.entries.get(key)?;
+        Some((*revision, String::from_utf8_lossy(value).into_owned()))
+    }
+
     pub fn remove(&self, key: &str) {
         let (items, changed) = &*self.state;
         let mut items = items.lock().expect("unpoisoned");
@@ -98,6 +129,13 @@
         items.entries.keys().any(|key| key.starts_with(prefix))
     }
 
+    /// Whether there is a key with the prefix that is none of these.
+    pub fn has_besides(&self, prefix: &str, others: &[&str]) -> bool {
+        let items = self.state.0.lock().expect("unpoisoned");
+        let mut keys = items.entries.keys();
+        keys.any(|key| key.starts_with(prefix) && !others.contains(&&**key))
+    }
+
     /// Number of answered renewals of the lease to which the key is attached.
     pub fn renewals(&self, key: &str) -> u32 {
         let items = self.state.0.lock().expect("unpoisoned");
@@ -118,7 +156,7 @@
         let call = path.trim_start_matches("/mulberryrack/");
         let (status, answer) = match call.split('/').next() {
             Some("kv-range") => (200, self.range(query["prefix"])),
-            Some("kv-watch") => (200, self.watch(&query)),
+            Some("kv-watch") => self.watch(&query),
             Some("kv-txn") => self.transaction(&serde_json::from_str(&body).expect("JSON")),
             Some("kv-lease") => {
                 let mut items = self.state.0.lock().expect("unpoisoned");
@@ -129,9 +167,13 @@
                 let lease = call.rsplit('/').next().expect("an id");
                 let mut items = self.state.0.lock().expect("unpoisoned");
                 let lease = lease.parse().expect("a number");
-                let renewed = u32::from(!silent);
-                *items.renewals.entry(lease).or_default() += renewed;
-                (200, json!({ "ttl-ms": 3_000 }))
+                if lease > items.leases {
+                    (404, json!({}))
+                } else {
+                    let renewed = u32::from(!silent);
+                    *items.renewals.entry(lease).or_default() += renewed;
+                    (200, json!({ "ttl-ms": 3_000 }))
+                }
             }
             Some("kv-lease-end") => {
                 self.end_lease(call.rsplit('/').next().expect("an id"));
@@ -144,7 +186,11 @@
             std::mem::forget(request);
             return;
         }
-        let answer = Response::from_string(answer.to_string()).with_status_code(status);
+        let era = self.state.0.lock().expect("unpoisoned").era;
+        let header = format!("Store-Era: {era}").parse::<Header>();
+        let answer = Response::from_string(answer.to_string())
+            .with_status_code(status)
+            .with_header(header.expect("a header"));
         // Fails if the host has closed the connection.
         let _ = request.respond(answer);
     }
@@ -159,19 +205,29 @@
         json!({ "items": matching, "has-more": false, "current-rev": items.revision })
     }
 
-    fn watch(&self, query: &BTreeMap<&str, &str>) -> Value {
+    fn watch(&self, query: &BTreeMap<&str, &str>) -> (u16, Value) {
         let after: u64 = query["after"].parse().expect("a number");
         let wait = Duration::from_millis(query["wait-ms"].parse().expect("a number"));
         let until = Instant::now() + wait;
         let (items, changed) = &*self.state;
         let mut items = items.lock().expect("unpoisoned");
-        while items.revision <= after && Instant::now() < until {
+        let era = items.era;
+        if after > items.revision {
+            return (410, json!({}));
+        }
+        while items.revision <= after && items.era == era && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             items = changed.wait_timeout(items, left).expect("unpoisoned").0;
         }
+        if items.era != era {
+            return (410, json!({}));
+        }
         let newer = |event: &&Value| event["revision"].as_u64() > Some(after);
         let events: Vec<Value> = items.history.iter().filter(newer).cloned().collect();
-        json!({ "events": events, "current-rev": items.revision })
+        (
+            200,
+            json!({ "events": events, "current-rev": items.revision }),
+        )
     }
 
     fn transaction(&self, body: &Value) -> (u16, Value) {
@@ -185,6 +241,16 @@
                 return (412, json!({ "items": matching }));
             }
         }
+        let leases = self.state.0.lock().expect("unpoisoned").leases;
+        let is_gone = |write: &Value| write["lease"].as_u64() > Some(leases);
+        if body["writes"]
+            .as_array()
+            .expect("a list")
+            .iter()
+            .any(is_gone)
+        {
+            return (404, json!({}));
+        }
         let mut revision = 0;
         for write in body["writes"].as_array().expect("a list") {
             let value = STANDARD.decode(write["value"].as_str().expect("text"));
--- /dev/null
+++ b/crates/edge/src/eras.rs
@@ -0,0 +1,134 @@
+//! What a host does when the key-value service comes back from an older copy of itself, which
+//! begins an era. What was written since the copy is gone; upstreams, operators and hosts write
+//! theirs again.
+
+use crate::{journal::journal, shared::Shared, watch};
+use mulberryrack_core::{
+    Name, Time, hash,
+    kv::{Entry, Era, Fault, Op, Reply},
+};
+use mulberryrack_site::Dialect;
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use tokio::{task, time};
+
+/// Key that holds the era in which the deployment began, as decimal text. Fencing tokens count
+/// eras from it.
+pub const FIRST_ERA_KEY: &str = "mulberryrack/first-era";
+/// Time after an era was noticed within which upstreams and hosts write their entries again.
+const REWRITE_PERIOD: Duration = Duration::from_millis(2_500);
+/// Time for each host by which the hosts spread their calls after an era was noticed.
+const SPREAD_PER_HOST: Duration = Duration::from_millis(5);
+
+/// What the service lacked when it was read in a new era, until it is written again or counts as
+/// gone.
+#[derive(Debug, Default)]
+pub struct Unconfirmed {
+    pub upstreams: BTreeSet<Name>,
+    pub hosts: BTreeSet<Name>,
+    /// Whether the claim to give orders is missing.
+    pub claim: bool,
+    /// Time at which what is still missing counts as gone.
+    until: Time,
+}
+
+/// Delay of this host's first calls in a new era, so that not all hosts make them at once.
+pub fn spread_delay<D>(shared: &Shared<D>) -> Duration {
+    let hosts = u32::try_from(shared.hosts.borrow().len()).unwrap_or(u32::MAX);
+    let span_us = u64::try_from((SPREAD_PER_HOST * hosts.max(1)).as_micros()).unwrap_or(u64::MAX);
+    let seed = shared.clock.now().as_micros();
+    let offset_us = hash::stable(shared.settings.host.as_bytes(), seed) % span_us.max(1);
+    Duration::from_micros(offset_us)
+}
+
+/// Keeps what the service lacks in a new era for [`REWRITE_PERIOD`], and removes then what was
+/// not written again.
+pub fn keep_unlisted<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    upstreams: Vec<Name>,
+    hosts: Vec<Name>,
+    claim: bool,
+) {
+    journal!(
+        info,
+        "era-read",
+        era = shared.store.era().0,
+        missing_upstreams = upstreams.len(),
+        missing_hosts = hosts.len(),
+        missing_claim = claim,
+    );
+    {
+        let mut unconfirmed = shared.unconfirmed.borrow_mut();
+        unconfirmed.upstreams.extend(upstreams);
+        unconfirmed.hosts.extend(hosts);
+        unconfirmed.claim |= claim;
+        unconfirmed.until = shared.clock.now() + REWRITE_PERIOD;
+    }
+    let shared = shared.clone();
+    task::spawn_local(async move {
+        time::sleep(REWRITE_PERIOD).await;
+        remove_unconfirmed(&shared);
+    });
+}
+
+fn remove_unconfirmed<D: Dialect>(shared: &Shared<D>) {
+    let gone = {
+        let mut unconfirmed = shared.unconfirmed.borrow_mut();
+        // A later era has begun another period.
+        if shared.clock.now() < unconfirmed.until {
+            return;
+        }
+        std::mem::take(&mut *unconfirmed)
+    };
+    for name in &gone.upstreams {
+        watch::deregister_upstream(shared, name);
+    }
+    for name in &gone.hosts {
+        watch::remove_host(shared, name);
+    }
+    if gone.claim {
+        shared.set_holder(None);
+    }
+    shared.changed.notify_waiters();
+}
+
+/// Takes over the era in which the deployment began from its key.
+pub fn apply<D>(shared: &Shared<D>, entry: &Entry) {
+    match parse(entry) {
+        Some(era) => set_first(shared, era),
+        None => journal!(warn, "first-era-unreadable", revision = entry.revision.0),
+    }
+}
+
+fn parse(entry: &Entry) -> Option<Era> {
+    let text = std::str::from_utf8(&entry.value).ok()?;
+    text.trim().parse().ok().map(Era)
+}
+
+fn set_first<D>(shared: &Shared<D>, era: Era) {
+    let known = shared.first_era.get().unwrap_or(era);
+    shared.first_era.set(Some(known.min(era)));
+}
+
+/// Has the key for the first era written if there is none, and returns that era.
+///
+/// # Errors
+///
+/// The key could be neither written nor read.
+pub async fn ensure_first<D: Dialect>(shared: &Shared<D>) -> Result<Era, Fault> {
+    if shared.store.era_noticed_at().is_none() {
+        return Ok(Era(0));
+    }
+    let value = shared.first_era.get().unwrap_or(shared.store.era());
+    let op = Op::Put {
+        key: FIRST_ERA_KEY.into(),
+        value: value.0.to_string().into(),
+        expect: None,
+        lease: None,
+    };
+    match shared.store.call(&op).await? {
+        Reply::Written(_) => set_first(shared, value),
+        Reply::Conflict(Some(entry)) => apply(shared, &entry),
+        _ => {}
+    }
+    shared.first_era.get().ok_or(Fault::Unknown)
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -71,11 +71,12 @@
         retry_window: bounds.retry_window,
         ..Tuning::default()
     };
+    let clock = Clock::start();
     let seed = hash::stable(settings.host.as_bytes(), u64::from(std::process::id()));
     Rc::new(Shared {
-        store: Store::new(dialect.clone(), settings.kv_address, metrics.clone()),
+        store: Store::new(dialect.clone(), settings.kv_address, metrics.clone(), clock),
         dialect,
-        clock: Clock::start(),
+        clock,
         client: Rc::new(Client::default()),
         metrics,
         datagrams,
@@ -93,6 +94,8 @@
         probe_ended: Notify::new(),
         hosts: RefCell::default(),
         holder: RefCell::default(),
+        first_era: Cell::default(),
+        unconfirmed: RefCell::default(),
         phase: Cell::new(Phase::Starting),
         store_reached: Cell::new(false),
         store_recovered: Notify::new(),
--- a/crates/edge/src/lease_extension.rs
+++ b/crates/edge/src/lease_extension.rs
@@ -3,7 +3,11 @@
 //! either.
 
 use crate::{journal::journal, peers, shared::Shared};
-use mulberryrack_core::Name;
+use mulberryrack_core::{
+    Name,
+    kv::{Era, Revision},
+};
+use mulberryrack_fleet::Fence;
 use mulberryrack_site::Dialect;
 use mulberryrack_wire::plan::{Contact, Question, planner_client::PlannerClient};
 use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
@@ -33,7 +37,17 @@
     let holder = shared.holder.borrow();
     Contact {
         unreached_ms: since_answer.map_or(u64::MAX, millis),
-        fence: holder.as_ref().map_or(0, |(_, revision)| revision.0),
+        fence: holder.as_ref().map_or(0, |(_, fence)| fence.revision.0),
+        fence_era: holder.as_ref().map_or(0, |(_, fence)| fence.era.0),
+        era: shared.store.era().0,
+    }
+}
+
+/// The newest claim that another host has seen.
+const fn fence_of(contact: &Contact) -> Fence {
+    Fence {
+        era: Era(contact.fence_era),
+        revision: Revision(contact.fence),
     }
 }
 
@@ -71,14 +85,24 @@
         // Every other host must have lost the service before the lease may have ended. The
         // answers are older than this moment, so that the comparison errs on the safe side.
         let since_lease_end_ms = millis(shared.clock.now().since(lease_deadline));
-        let fence = shared.claim.borrow().fence().unwrap_or_default();
-        let agrees = |it: &Contact| it.unreached_ms >= since_lease_end_ms && it.fence <= fence;
+        let Some(fence) = shared.claim.borrow().fence() else {
+            continue;
+        };
+        let agrees = |it: &Contact| {
+            it.unreached_ms >= since_lease_end_ms && it.era <= fence.era.0 && fence_of(it) <= fence
+        };
         let now_extended = contacts.is_some_and(|contacts| contacts.iter().all(agrees));
         if now_extended {
             shared.claim.borrow_mut().extended_by_peers(asked_at);
         }
         if now_extended != extended {
-            journal!(info, "claim-vouched", vouched = now_extended, fence = fence);
+            let revision = fence.revision.0;
+            journal!(
+                info,
+                "claim-vouched",
+                vouched = now_extended,
+                fence = revision
+            );
             extended = now_extended;
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod crashes;
 mod directory;
 mod endpoint;
+mod eras;
 mod events;
 mod exchange;
 mod host;
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -2,6 +2,7 @@
 //! orders. Both are written under one lease.
 
 use crate::{
+    eras,
     journal::journal,
     peers,
     registration::{CLAIM_KEY, HOST_KEY_PREFIX, Registration},
@@ -9,10 +10,10 @@
 };
 use bytes::Bytes;
 use mulberryrack_core::{
-    hash,
+    Time, hash,
     kv::{Fault, Lease, Op, Reply, Revision},
 };
-use mulberryrack_fleet::ClaimState;
+use mulberryrack_fleet::{ClaimState, Fence};
 use mulberryrack_site::Dialect;
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
@@ -24,6 +25,9 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(650);
 /// Interval at which the host checks whether the claim is free.
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which a claim that nobody seems to hold is replaced. Longer than any lease lasts
+/// without a renewal.
+const ABANDONED_DELAY: Duration = Duration::from_secs(6);
 /// Upper bound of the random delay before a free claim is written, so that not all hosts
 /// write at the same time.
 const MAX_CLAIM_JITTER_MS: u64 = 300;
@@ -36,6 +40,34 @@
     host_key: Option<Revision>,
     /// Whether the key-value service did not answer the last renewal.
     renewal_unanswered: bool,
+    /// Number of times that the era of the service had risen when the keys were written.
+    rises: u32,
+    /// A claim that nobody seems to hold, and since when.
+    unheld: Option<(Fence, Instant)>,
+}
+
+impl OwnKeys {
+    /// The claim if nobody seems to have held it for [`ABANDONED_DELAY`]: its host is not
+    /// registered, or is this host, which does not hold it. A claim that was written while the
+    /// era of the service rose may depend on the lease of another host, and stay for ever.
+    fn abandoned_claim<D>(
+        &mut self,
+        shared: &Shared<D>,
+        holder: Option<&(Registration, Fence)>,
+    ) -> Option<Fence> {
+        let hosts = shared.hosts.borrow();
+        let holds_none = shared.claim.borrow().fence().is_none();
+        let unheld = holder.filter(|(registration, _)| {
+            let is_own = registration.host == shared.settings.host;
+            (is_own && holds_none) || !hosts.contains_key(&registration.host)
+        });
+        let fence = unheld.map(|(_, fence)| *fence);
+        if self.unheld.map(|(seen, _)| seen) != fence {
+            self.unheld = fence.map(|fence| (fence, Instant::now()));
+        }
+        let (fence, since) = self.unheld?;
+        (since.elapsed() >= ABANDONED_DELAY).then_some(fence)
+    }
 }
 
 /// Writes this host's keys and renews their lease until the host leaves, then revokes the
@@ -45,16 +77,23 @@
     let mut next_renewal = Instant::now();
     while !shared.is_leaving() {
         let phase_changed = shared.phase_changed.notified();
+        let era_changed = shared.store.era_changed.notified();
+        if keys.rises != shared.store.rises() {
+            follow_era(&shared, &mut keys).await;
+            next_renewal = Instant::now();
+            continue;
+        }
         if Instant::now() >= next_renewal {
             renew_or_grant(&shared, &mut keys).await;
             next_renewal = Instant::now() + RENEWAL_INTERVAL;
         } else {
             register_host(&shared, &mut keys).await;
-            claim_if_free(&shared, &keys).await;
+            claim_if_free(&shared, &mut keys).await;
         }
         tokio::select! {
             () = time::sleep_until(next_renewal.min(Instant::now() + CLAIM_CHECK_INTERVAL)) => {}
             () = phase_changed => {}
+            () = era_changed => {}
         }
     }
     shared.claim.borrow_mut().lost();
@@ -64,6 +103,137 @@
     }
 }
 
+/// Begins anew in a new era of the key-value service. The lease is neither renewed nor revoked,
+/// even if the service still knows its number, which may be that of another host by now. A
+/// holder of the claim writes that again at once, so that orders go on.
+async fn follow_era<D: Dialect>(shared: &Rc<Shared<D>>, keys: &mut OwnKeys) {
+    let rises = shared.store.rises();
+    *keys = OwnKeys {
+        rises,
+        ..OwnKeys::default()
+    };
+    let carried_over = carry_claim_over(shared, keys).await;
+    journal!(
+        info,
+        "era-changed",
+        from = shared.store.former_era().0,
+        to = shared.store.era().0,
+        claim_carried_over = carried_over,
+    );
+    if !carried_over {
+        shared.claim.borrow_mut().lost();
+        time::sleep(eras::spread_delay(shared)).await;
+    }
+}
+
+/// Writes the claim again that this host held in an earlier era, unless another host holds it.
+/// Returns whether the host holds it in the new era.
+async fn carry_claim_over<D: Dialect>(shared: &Rc<Shared<D>>, keys: &mut OwnKeys) -> bool {
+    let (Some(noticed_at), era) = (shared.store.era_noticed_at(), shared.store.era()) else {
+        return false;
+    };
+    let can_carry_over = || {
+        let claim = shared.claim.borrow();
+        claim.can_carry_over(shared.clock.now(), noticed_at, era)
+    };
+    if !can_carry_over() {
+        return false;
+    }
+    grant(shared, keys).await;
+    let Some(expect) = revision_to_replace(shared).await else {
+        return false;
+    };
+    if keys.lease.is_none() || !can_carry_over() || eras::ensure_first(shared).await.is_err() {
+        return false;
+    }
+    let sent_at = shared.clock.now();
+    let Some(revision) = write_claim(shared, keys, expect).await else {
+        return false;
+    };
+    let (now, era_now) = (shared.clock.now(), shared.store.era());
+    let fence = Fence {
+        era: era_now,
+        revision,
+    };
+    let times = (noticed_at, sent_at, now);
+    let carried_over = shared.claim.borrow_mut().carry_over(times, fence);
+    if carried_over {
+        let revision = fence.revision.0;
+        journal!(
+            info,
+            "claim-carried-over",
+            era = era_now.0,
+            fence = revision
+        );
+    } else {
+        record_gained(shared, sent_at, fence, None);
+    }
+    shared.set_holder(Some((shared.registration(), fence)));
+    true
+}
+
+/// The revision of the claim's key that this host may replace in a new era: that of a claim of
+/// its own, or none. `None` if another host holds the claim or the key cannot be read.
+async fn revision_to_replace<D: Dialect>(shared: &Shared<D>) -> Option<Option<Revision>> {
+    let op = Op::Get {
+        key: CLAIM_KEY.into(),
+    };
+    match shared.store.call(&op).await {
+        Ok(Reply::Entry(None)) => Some(None),
+        Ok(Reply::Entry(Some(entry))) => {
+            let holder: Registration = serde_json::from_slice(&entry.value).ok()?;
+            (holder.host == shared.settings.host).then_some(Some(entry.revision))
+        }
+        _ => None,
+    }
+}
+
+/// Writes the claim if its key has the expected revision. Returns the new revision.
+async fn write_claim<D: Dialect>(
+    shared: &Shared<D>,
+    keys: &OwnKeys,
+    expect: Option<Revision>,
+) -> Option<Revision> {
+    let op = Op::Put {
+        key: CLAIM_KEY.into(),
+        value: encode(&shared.registration()),
+        expect,
+        lease: keys.lease,
+    };
+    match shared.store.call(&op).await {
+        Ok(Reply::Written(revision)) => Some(revision),
+        Ok(Reply::Conflict(_)) => None,
+        other => {
+            let outcome = format_args!("{other:?}");
+            journal!(warn, "claim-not-written", outcome = outcome);
+            None
+        }
+    }
+}
+
+/// Records that this host has gained the claim. `replaced_at` is when it replaced that of a host
+/// that may not know of it.
+fn record_gained<D: Dialect>(
+    shared: &Shared<D>,
+    sent_at: Time,
+    fence: Fence,
+    replaced_at: Option<Time>,
+) {
+    let now = shared.clock.now();
+    let first_era = shared.first_era.get().unwrap_or_default();
+    let noticed_at = shared.store.era_noticed_at();
+    let noticed_at = noticed_at.filter(|_| fence.era > first_era);
+    let mut claim = shared.claim.borrow_mut();
+    claim.gained(sent_at, now, fence, replaced_at.or(noticed_at));
+    shared.planner.borrow_mut().take_over(now);
+    journal!(
+        info,
+        "claim-gained",
+        era = fence.era.0,
+        fence = fence.revision.0,
+    );
+}
+
 /// Renews the lease, or gets a new one if there is none or it has ended.
 async fn renew_or_grant<D: Dialect>(shared: &Shared<D>, keys: &mut OwnKeys) {
     let sent_at = shared.clock.now();
@@ -77,11 +247,19 @@
     }
     keys.renewal_unanswered = !reached;
     match renewed {
-        Ok(true) => shared.claim.borrow_mut().renewed(sent_at),
+        // The answer is about a lease of an earlier era.
+        _ if shared.store.rises() != keys.rises => {}
+        Ok(true) => {
+            let era = shared.store.era();
+            shared.claim.borrow_mut().renewed(sent_at, era);
+        }
         Ok(false) => {
             journal!(warn, "lease-lost", lease = lease.0);
             shared.claim.borrow_mut().lost();
-            *keys = OwnKeys::default();
+            *keys = OwnKeys {
+                rises: keys.rises,
+                ..OwnKeys::default()
+            };
             grant(shared, keys).await;
         }
         Err(fault) => {
@@ -178,57 +356,58 @@
     }
 }
 
-/// Takes the claim if nobody holds it and this host is registered; gives it up if a newer
-/// claim exists.
-async fn claim_if_free<D: Dialect>(shared: &Shared<D>, keys: &OwnKeys) {
+/// Takes the claim if nobody holds it, or nobody has for long, and this host is registered;
+/// gives it up if a newer claim exists.
+async fn claim_if_free<D: Dialect>(shared: &Shared<D>, keys: &mut OwnKeys) {
     let holder = shared.holder.borrow().clone();
     let now = shared.clock.now();
-    let held_here = holder
-        .as_ref()
-        .is_some_and(|(registration, _)| registration.host == shared.settings.host);
-    if let Some((_, revision)) = holder {
-        let fence = shared.claim.borrow().fence();
+    if let Some((_, newest)) = &holder {
+        let own = shared.claim.borrow().fence();
         // Without a fence, this host holds no claim, and a claim in its name is of its
         // previous incarnation, which ends with the lease of that incarnation.
-        if fence.is_some() && (!held_here || fence != Some(revision.0)) && fence < Some(revision.0)
-        {
-            journal!(warn, "claim-lost", revision = revision.0);
+        if own.is_some_and(|own| own < *newest) {
+            journal!(
+                warn,
+                "claim-lost",
+                era = newest.era.0,
+                revision = newest.revision.0
+            );
             shared.claim.borrow_mut().lost();
         }
+    }
+    let abandoned = keys.abandoned_claim(shared, holder.as_ref());
+    if holder.is_some() && abandoned.is_none() {
         return;
     }
-    let (Some(lease), Some(_)) = (keys.lease, keys.host_key) else {
+    if keys.lease.is_none() || keys.host_key.is_none() {
         return;
-    };
-    if shared.claim.borrow().state(now) != ClaimState::NotHeld || !shared.store_reached.get() {
+    }
+    if shared.claim_state(now) != ClaimState::NotHeld || !shared.store_reached.get() {
         return;
     }
     let seed = now.as_micros();
     let jitter_ms = hash::stable(shared.settings.host.as_bytes(), seed) % MAX_CLAIM_JITTER_MS;
     time::sleep(Duration::from_millis(jitter_ms)).await;
-    if shared.holder.borrow().is_some() || shared.is_leaving() {
+    if *shared.holder.borrow() != holder || shared.is_leaving() {
+        return;
+    }
+    if let Err(fault) = eras::ensure_first(shared).await {
+        let fault = format_args!("{fault:?}");
+        journal!(warn, "first-era-unknown", fault = fault);
         return;
     }
     let sent_at = shared.clock.now();
-    let op = Op::Put {
-        key: CLAIM_KEY.into(),
-        value: encode(&shared.registration()),
-        expect: None,
-        lease: Some(lease),
+    let expect = abandoned.map(|fence| fence.revision);
+    let written = write_claim(shared, keys, expect).await;
+    // A lease of an earlier era may have another host's number by now.
+    let (Some(revision), true) = (written, shared.store.rises() == keys.rises) else {
+        return;
     };
-    match shared.store.call(&op).await {
-        Ok(Reply::Written(revision)) => {
-            let now = shared.clock.now();
-            shared.claim.borrow_mut().gained(sent_at, now, revision);
-            shared.planner.borrow_mut().take_over(now);
-            *shared.holder.borrow_mut() = Some((shared.registration(), revision));
-            journal!(info, "claim-gained", fence = revision.0);
-        }
-        Ok(Reply::Conflict(_)) => {}
-        other => journal!(
-            warn,
-            "claim-not-written",
-            outcome = format_args!("{other:?}")
-        ),
-    }
+    let fence = Fence {
+        era: shared.store.era(),
+        revision,
+    };
+    let replaced_at = abandoned.map(|_| sent_at);
+    record_gained(shared, sent_at, fence, replaced_at);
+    shared.set_holder(Some((shared.registration(), fence)));
 }
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -44,7 +44,7 @@
         ticks.tick().await;
         tick = tick.wrapping_add(1);
         let now = shared.clock.now();
-        if shared.claim.borrow().state(now) != ClaimState::Active {
+        if shared.claim_state(now) != ClaimState::Active {
             continue;
         }
         if tick.is_multiple_of(PLANS_PER_QUERY) {
@@ -228,10 +228,8 @@
         connection.return_to_pool(None);
         return OrderOutcome::NotSent;
     }
-    let (state, fence) = {
-        let claim = shared.claim.borrow();
-        (claim.state(now), claim.fence())
-    };
+    let state = shared.claim_state(now);
+    let fence = shared.claim.borrow().fence();
     let (ClaimState::Active, Some(fence)) = (state, fence) else {
         connection.return_to_pool(None);
         return OrderOutcome::NotSent;
@@ -243,7 +241,7 @@
         adapter: planned.adapter.clone(),
         expected_orders: Some(planned.expected_orders),
         holder: shared.settings.host.clone(),
-        fence,
+        fence: fence.token(shared.first_era.get().unwrap_or_default()),
     };
     let request = shared.dialect.order_call(&order);
     let answer = time::timeout(CALL_TIMEOUT, connection.round_trip(request));
@@ -268,7 +266,7 @@
     let deadline = Instant::now() + PLACE_TIMEOUT;
     while Instant::now() < deadline {
         let now = shared.clock.now();
-        if shared.claim.borrow().state(now) != ClaimState::Active {
+        if shared.claim_state(now) != ClaimState::Active {
             return None;
         }
         let found = {
@@ -285,9 +283,9 @@
 }
 
 /// Records the demand at one host if this host holds the claim. Returns whether it does.
-pub fn record<D>(shared: &Shared<D>, demands: &[Demand]) -> bool {
+pub fn record<D: Dialect>(shared: &Shared<D>, demands: &[Demand]) -> bool {
     let now = shared.clock.now();
-    let holds = shared.claim.borrow().state(now) != ClaimState::NotHeld;
+    let holds = shared.claim_state(now) != ClaimState::NotHeld;
     if holds {
         let mut planner = shared.planner.borrow_mut();
         for demand in demands {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,7 +4,7 @@
 use crate::{journal::journal, lease_extension, orders, shared::Shared};
 use mulberryrack_core::{
     Name,
-    kv::{Lease, Op, Reply},
+    kv::{Era, Lease, Op, Reply},
 };
 use mulberryrack_fleet::Demand;
 use mulberryrack_gate::ModelChange;
@@ -44,7 +44,7 @@
 enum Call {
     Report(Vec<Demand>, oneshot::Sender<bool>),
     Place(Name, Option<Name>, oneshot::Sender<Option<Vec<Name>>>),
-    Renew(Lease, oneshot::Sender<Option<bool>>),
+    Renew(Lease, oneshot::Sender<plan::Renewed>),
     Contact(oneshot::Sender<plan::Contact>),
 }
 
@@ -107,11 +107,8 @@
     ) -> Result<Response<plan::Renewed>, Status> {
         let lease = Lease(request.into_inner().id);
         let (answer, renewed) = oneshot::channel();
-        let in_force = self.forward(Call::Renew(lease, answer), renewed).await?;
-        Ok(Response::new(plan::Renewed {
-            answered: in_force.is_some(),
-            in_force: in_force.unwrap_or_default(),
-        }))
+        let renewed = self.forward(Call::Renew(lease, answer), renewed).await?;
+        Ok(Response::new(renewed))
     }
 }
 
@@ -143,11 +140,12 @@
                 let shared = shared.clone();
                 task::spawn_local(async move {
                     let renewed = shared.store.call(&Op::Renew { lease }).await;
-                    let in_force = match renewed {
-                        Ok(reply) => Some(reply == Reply::Renewed(true)),
-                        Err(_) => None,
+                    let message = plan::Renewed {
+                        answered: renewed.is_ok(),
+                        in_force: renewed == Ok(Reply::Renewed(true)),
+                        era: shared.store.era().0,
                     };
-                    let _gone = answer.send(in_force);
+                    let _gone = answer.send(message);
                 });
             }
         }
@@ -252,7 +250,11 @@
     match PlannerClient::new(channel).renew(message).await {
         Ok(renewed) => {
             let renewed = renewed.into_inner();
-            renewed.answered.then_some(renewed.in_force)
+            let rises = shared.store.rises();
+            // Hosts that do not tell the era send 0.
+            let is_known = renewed.era == 0 || shared.store.follow_era(Era(renewed.era));
+            let is_same_era = is_known && shared.store.rises() == rises;
+            (renewed.answered && is_same_era).then_some(renewed.in_force)
         }
         Err(error) => {
             journal!(
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,12 +2,16 @@
 //! task holds a `RefCell` borrow across an `await`.
 
 use crate::{
-    client::Client, clock::Clock, metrics::Metrics, registration::Registration, store::Store,
+    client::Client, clock::Clock, eras::Unconfirmed, metrics::Metrics, registration::Registration,
+    store::Store,
 };
-use mulberryrack_core::{Name, Time, kv::Revision};
-use mulberryrack_fleet::{Claim, Planner};
+use mulberryrack_core::{
+    Name, Time,
+    kv::{Era, Revision},
+};
+use mulberryrack_fleet::{Claim, ClaimState, Fence, Planner};
 use mulberryrack_gate::{Gate, UpstreamId};
-use mulberryrack_site::Settings;
+use mulberryrack_site::{Dialect, Settings};
 use mulberryrack_suspect::Gossip;
 use std::{
     cell::{Cell, RefCell},
@@ -57,9 +61,12 @@
     pub probe_ended: Notify,
     /// Registered hosts, this host included, with the revisions of their keys.
     pub hosts: RefCell<BTreeMap<Name, (Registration, Revision)>>,
-    /// The host that holds the claim to give orders, and the revision of the claim's key;
-    /// `None` if nobody holds it.
-    pub holder: RefCell<Option<(Registration, Revision)>>,
+    /// The host that holds the claim to give orders, and its claim; `None` if nobody holds it.
+    pub holder: RefCell<Option<(Registration, Fence)>>,
+    /// The era of the key-value service in which the deployment began, once it is known.
+    pub first_era: Cell<Option<Era>>,
+    /// What the key-value service lacked when it came back from an older copy.
+    pub unconfirmed: RefCell<Unconfirmed>,
     pub phase: Cell<Phase>,
     /// Whether the key-value service answered the last list or watch call.
     pub store_reached: Cell<bool>,
@@ -78,6 +85,13 @@
     pub caller_connections: Cell<usize>,
 }
 
+impl<D: Dialect> Shared<D> {
+    /// Whether this host may give orders.
+    pub fn claim_state(&self, now: Time) -> ClaimState {
+        self.claim.borrow().state(now, self.store.era())
+    }
+}
+
 impl<D> Shared<D> {
     /// The registration that this host writes to the key-value service.
     pub fn registration(&self) -> Registration {
@@ -103,6 +117,16 @@
         self.phase_changed.notify_waiters();
     }
 
+    /// Sets which host holds the claim to give orders.
+    pub fn set_holder(&self, holder: Option<(Registration, Fence)>) {
+        let mut gate = self.gate.borrow_mut();
+        gate.set_planner_active(holder.is_some());
+        if holder.is_some() {
+            self.unconfirmed.borrow_mut().claim = false;
+        }
+        *self.holder.borrow_mut() = holder;
+    }
+
     /// Whether callers should send requests to this host.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -1,13 +1,17 @@
-//! Calls to the key-value service.
+//! Calls to the key-value service, and the era of its answers.
 
 use crate::{
     client::{Client, Fault, Remote},
+    clock::Clock,
     metrics::Metrics,
 };
-use mulberryrack_core::kv;
+use mulberryrack_core::{
+    Time,
+    kv::{self, Era},
+};
 use mulberryrack_site::Dialect;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 /// Longest wait for an answer. A healthy key-value service answers in milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -20,11 +24,20 @@
     metrics: Rc<Metrics>,
     /// Time of the service's last usable answer; `None` if there was none.
     last_answer: Cell<Option<Instant>>,
+    clock: Clock,
+    /// The highest era of any answer, and when it was noticed; `None` if no answer named one.
+    era: Cell<Option<(Era, Time)>>,
+    /// Number of times that the era rose after the first answer.
+    rises: Cell<u32>,
+    /// The era before the last rise.
+    former_era: Cell<Era>,
+    /// Notified when the era has risen.
+    pub era_changed: Notify,
 }
 
 impl<D: Dialect> Store<D> {
     /// Creates a client for the service at an address.
-    pub fn new(dialect: Rc<D>, address: SocketAddr, metrics: Rc<Metrics>) -> Self {
+    pub fn new(dialect: Rc<D>, address: SocketAddr, metrics: Rc<Metrics>, clock: Clock) -> Self {
         Self {
             dialect,
             client: Rc::new(Client::default()),
@@ -34,9 +47,53 @@
             },
             metrics,
             last_answer: Cell::new(None),
+            clock,
+            era: Cell::new(None),
+            rises: Cell::new(0),
+            former_era: Cell::default(),
+            era_changed: Notify::new(),
         }
     }
 
+    /// The newest era that this host knows; 0 if the service does not tell its eras.
+    pub fn era(&self) -> Era {
+        self.era.get().map_or(Era(0), |(era, _)| era)
+    }
+
+    /// When the newest era was noticed; `None` if the service does not tell its eras.
+    pub fn era_noticed_at(&self) -> Option<Time> {
+        self.era.get().map(|(_, noticed_at)| noticed_at)
+    }
+
+    /// Number of times that the service was found to have come back from an older copy.
+    pub const fn rises(&self) -> u32 {
+        self.rises.get()
+    }
+
+    /// The era before the last rise.
+    pub const fn former_era(&self) -> Era {
+        self.former_era.get()
+    }
+
+    /// Takes over an era that this host or another one has seen. Returns false if it is older
+    /// than the newest one.
+    pub fn follow_era(&self, era: Era) -> bool {
+        let known = self.era.get();
+        if known.is_some_and(|(known, _)| known > era) {
+            return false;
+        }
+        if known.is_none_or(|(known, _)| known < era) {
+            self.era.set(Some((era, self.clock.now())));
+            if self.last_answer.get().is_some() {
+                self.rises.set(self.rises.get() + 1);
+                self.former_era
+                    .set(known.map_or(Era(0), |(known, _)| known));
+                self.era_changed.notify_waiters();
+            }
+        }
+        true
+    }
+
     /// Time since the service's last usable answer; `None` if there was none.
     pub fn time_since_answer(&self) -> Option<Duration> {
         self.last_answer
@@ -44,12 +101,14 @@
             .map(|last_answer| last_answer.elapsed())
     }
 
-    /// Makes a call. A watch gets its own wait in addition to [`CALL_TIMEOUT`].
+    /// Makes a call. A watch gets its own wait in addition to [`CALL_TIMEOUT`]. A usable answer
+    /// belongs to the era that [`Store::era`] names when this returns.
     ///
     /// # Errors
     ///
     /// Why there is no usable answer, and whether the operation may have taken effect.
     pub async fn call(&self, op: &kv::Op) -> kv::Outcome {
+        let rises = self.rises.get();
         let wait = match op {
             kv::Op::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
@@ -60,7 +119,7 @@
             .call(self.remote.clone(), request, CALL_TIMEOUT + wait)
             .await;
         let outcome = match answer {
-            Ok(answer) => self.dialect.store_answer(op, &answer),
+            Ok(answer) => self.read(op, &answer, rises),
             Err(Fault::NotSent) => Err(kv::Fault::NotApplied),
             Err(Fault::Broken | Fault::Silent) => Err(kv::Fault::Unknown),
         };
@@ -70,4 +129,19 @@
         self.metrics.record_store_call(op.label(), outcome.is_ok());
         outcome
     }
+
+    /// Parses an answer to a call that was made after the era had risen `rises` times.
+    fn read(&self, op: &kv::Op, answer: &http::Response<bytes::Bytes>, rises: u32) -> kv::Outcome {
+        let era = self.dialect.store_era(answer);
+        if era.is_some_and(|era| !self.follow_era(era)) {
+            // What the call did may be gone.
+            return Err(kv::Fault::Unknown);
+        }
+        let continues = matches!(op, kv::Op::Watch { .. } | kv::Op::List { .. });
+        if continues && self.rises.get() != rises {
+            // The position belongs to an earlier era.
+            return Err(kv::Fault::HistoryGone);
+        }
+        self.dialect.store_answer(op, answer)
+    }
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     crashes,
+    eras::{self, FIRST_ERA_KEY},
     journal::journal,
     refusals,
     registration::{CLAIM_KEY, HOST_KEY_PREFIX, Registration},
@@ -12,6 +13,7 @@
     Name,
     kv::{Entry, Fault, Op, Reply, Revision},
 };
+use mulberryrack_fleet::Fence;
 use mulberryrack_site::{Dialect, upstream::State};
 use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 use tokio::time;
@@ -34,16 +36,26 @@
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut position: Option<Revision> = None;
+    let mut rises_followed = 0;
+    let mut rises_read = 0;
     loop {
+        if rises_followed != shared.store.rises() {
+            rises_followed = shared.store.rises();
+            position = None;
+            time::sleep(eras::spread_delay(&shared)).await;
+            continue;
+        }
+        let era_changed = shared.store.era_changed.notified();
         let recovered = shared.store_recovered.notified();
         let result = async {
             match position {
-                None => read_all(&shared).await,
+                None => read_all(&shared, rises_read != rises_followed).await,
                 Some(after) => watch_once(&shared, after).await,
             }
         };
         let result = tokio::select! {
             result = result => result,
+            () = era_changed => continue,
             () = recovered => {
                 journal!(info, "watch-again", after = position.map_or(0, |it| it.0));
                 continue;
@@ -55,6 +67,7 @@
                     journal!(info, "store-reached", revision = revision.0);
                 }
                 retry_delay = MIN_RETRY_DELAY;
+                rises_read = rises_followed;
                 position = Some(revision);
             }
             Err(Fault::HistoryGone) => {
@@ -77,9 +90,9 @@
     }
 }
 
-/// Lists all keys, applies them, and removes what no longer exists. Returns the revision from
-/// which a watch must continue.
-async fn read_all<D: Dialect>(shared: &Shared<D>) -> Result<Revision, Fault> {
+/// Lists all keys, applies them, and removes what no longer exists; in a new era only once it
+/// had the time to be written again. Returns the revision from which a watch must continue.
+async fn read_all<D: Dialect>(shared: &Rc<Shared<D>>, is_new_era: bool) -> Result<Revision, Fault> {
     let mut after: Option<Arc<str>> = None;
     let mut start_revision: Option<Revision> = None;
     let mut seen = BTreeSet::new();
@@ -107,7 +120,7 @@
             apply_entry(shared, entry);
         }
         if !more || after.is_none() {
-            remove_unlisted(shared, &seen);
+            remove_unlisted(shared, &seen, is_new_era);
             update_upstream_count(shared);
             shared.changed.notify_waiters();
             return Ok(start);
@@ -116,7 +129,11 @@
 }
 
 /// Removes the upstreams, hosts and claim whose keys are not in `seen`.
-fn remove_unlisted<D: Dialect>(shared: &Shared<D>, seen: &BTreeSet<Arc<str>>) {
+fn remove_unlisted<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    seen: &BTreeSet<Arc<str>>,
+    is_new_era: bool,
+) {
     let registered: Vec<Name> = {
         let gate = shared.gate.borrow();
         gate.registered().map(|entry| entry.id.clone()).collect()
@@ -125,16 +142,29 @@
         .iter()
         .filter_map(|key| shared.dialect.upstream_of_key(key))
         .collect();
-    for id in registered.iter().filter(|id| !listed.contains(*id)) {
+    let registered = registered.into_iter();
+    let upstreams: Vec<Name> = registered.filter(|id| !listed.contains(id)).collect();
+    let is_listed = |name: &Name| seen.contains(format!("{HOST_KEY_PREFIX}{name}").as_str());
+    let hosts: Vec<Name> = {
+        let hosts = shared.hosts.borrow();
+        let names = hosts.keys().filter(|name| !is_listed(name));
+        names.cloned().collect()
+    };
+    let claim_is_gone = !seen.contains(CLAIM_KEY);
+    refusals::retain_keys(shared, |key| seen.contains(key));
+    if is_new_era {
+        eras::keep_unlisted(shared, upstreams, hosts, claim_is_gone);
+        return;
+    }
+    for id in &upstreams {
         deregister_upstream(shared, id);
     }
-    let is_listed = |name: &Name| seen.contains(format!("{HOST_KEY_PREFIX}{name}").as_str());
-    shared.hosts.borrow_mut().retain(|name, _| is_listed(name));
-    if !seen.contains(CLAIM_KEY) {
-        set_holder(shared, None);
+    for name in &hosts {
+        remove_host(shared, name);
+    }
+    if claim_is_gone {
+        shared.set_holder(None);
     }
-    refusals::retain_keys(shared, |key| seen.contains(key));
-    update_host_count(shared);
 }
 
 /// Waits for changes after a revision and applies them. Returns the revision from which the
@@ -182,14 +212,24 @@
         register_upstream(shared, &id, entry);
     } else if &*entry.key == CLAIM_KEY {
         match serde_json::from_slice::<Registration>(&entry.value) {
-            Ok(registration) => set_holder(shared, Some((registration, entry.revision))),
+            Ok(registration) => {
+                let fence = Fence {
+                    era: shared.store.era(),
+                    revision: entry.revision,
+                };
+                shared.set_holder(Some((registration, fence)));
+            }
             Err(error) => journal!(warn, "claim-unreadable", error = error),
         }
+    } else if &*entry.key == FIRST_ERA_KEY {
+        eras::apply(shared, entry);
     } else if let Some(fingerprint) = refusals::fingerprint_of_key(&entry.key) {
         refusals::apply(shared, fingerprint, &entry.value);
     } else if entry.key.starts_with(HOST_KEY_PREFIX) {
         match serde_json::from_slice::<Registration>(&entry.value) {
             Ok(registration) => {
+                let mut unconfirmed = shared.unconfirmed.borrow_mut();
+                unconfirmed.hosts.remove(&registration.host);
                 let mut hosts = shared.hosts.borrow_mut();
                 hosts.insert(registration.host.clone(), (registration, entry.revision));
             }
@@ -249,6 +289,7 @@
             revision = entry.revision.0,
         );
     }
+    shared.unconfirmed.borrow_mut().upstreams.remove(id);
     let now = shared.clock.now();
     shared.planner.borrow_mut().register(now, upstream.clone());
     let is_new = shared.gate.borrow_mut().register(now, upstream);
@@ -263,7 +304,8 @@
     }
 }
 
-fn deregister_upstream<D: Dialect>(shared: &Shared<D>, id: &Name) {
+/// Records that the entry of an upstream is gone.
+pub fn deregister_upstream<D: Dialect>(shared: &Shared<D>, id: &Name) {
     shared.gate.borrow_mut().deregister(id);
     shared.planner.borrow_mut().deregister(id);
     journal!(info, "upstream-gone", id = id);
@@ -273,21 +315,18 @@
     if let Some(id) = shared.dialect.upstream_of_key(key) {
         deregister_upstream(shared, &id);
     } else if key == CLAIM_KEY {
-        set_holder(shared, None);
+        shared.set_holder(None);
     } else if refusals::fingerprint_of_key(key).is_some() {
         refusals::retain_keys(shared, |other| other != key);
     } else if let Some(name) = key.strip_prefix(HOST_KEY_PREFIX) {
-        shared.hosts.borrow_mut().remove(name);
-        update_host_count(shared);
+        remove_host(shared, name);
     }
 }
 
-fn set_holder<D>(shared: &Shared<D>, holder: Option<(Registration, Revision)>) {
-    shared
-        .gate
-        .borrow_mut()
-        .set_planner_active(holder.is_some());
-    *shared.holder.borrow_mut() = holder;
+/// Records that the registration of a host is gone.
+pub fn remove_host<D: Dialect>(shared: &Shared<D>, name: &str) {
+    shared.hosts.borrow_mut().remove(name);
+    update_host_count(shared);
 }
 
 fn update_upstream_count<D>(shared: &Shared<D>) {
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -1,7 +1,10 @@
 //! The claim to give orders, which one host at a time holds: a key in the key-value service
 //! under a lease of the holder.
 
-use mulberryrack_core::{Time, kv::Revision};
+use mulberryrack_core::{
+    Time,
+    kv::{Era, Revision},
+};
 use std::time::Duration;
 
 /// Added to the handover delay. The margin covers orders that are still on their way, and a
@@ -16,6 +19,33 @@
 /// arrives before the end.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Longest time from the notice that the key-value service came back from an older copy until
+/// the claim is written again, for the holder to go on without a wait. No other host that
+/// gained the claim meanwhile has given orders by then.
+const CARRY_OVER_PERIOD: Duration = Duration::from_millis(1_500);
+/// Bits of a fencing token for the revision.
+const REVISION_BITS: u32 = 40;
+
+/// Position of a claim among all claims. Revisions are given out again when the key-value
+/// service comes back from an older copy, eras are not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fence {
+    /// Era of the key-value service in which the claim was written.
+    pub era: Era,
+    /// Revision of the claim's key.
+    pub revision: Revision,
+}
+
+impl Fence {
+    /// The fencing token of orders under the claim. `first_era` is the era in which the
+    /// deployment began; in it, the token is the revision.
+    #[must_use]
+    pub const fn token(self, first_era: Era) -> u64 {
+        let eras = self.era.0.saturating_sub(first_era.0);
+        (eras << REVISION_BITS) + self.revision.0
+    }
+}
+
 /// Whether this host may give orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClaimState {
@@ -41,7 +71,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct HeldClaim {
-    revision: Revision,
+    fence: Fence,
     /// Time at which the last acknowledged renewal, or else the write that gained the claim,
     /// was sent.
     renewed_at: Time,
@@ -62,20 +92,56 @@
         }
     }
 
-    /// Records that this host's claim was written at `revision`; the call was sent at
-    /// `sent_at` and answered at `now`.
-    pub fn gained(&mut self, sent_at: Time, now: Time, revision: Revision) {
+    /// Records that this host's claim was written; the call was sent at `sent_at` and answered
+    /// at `now`. `era_noticed_at` is when this host noticed the era of the claim; `None` if it
+    /// is the first one of the deployment.
+    pub fn gained(&mut self, sent_at: Time, now: Time, fence: Fence, era_noticed_at: Option<Time>) {
+        // A holder from before the era may not have noticed it until its lease ends.
+        let is_new_era = era_noticed_at.is_some_and(|noticed| now.since(noticed) < self.ttl);
+        let lease_wait = if is_new_era { self.ttl } else { Duration::ZERO };
         self.held = Some(HeldClaim {
-            revision,
+            fence,
             renewed_at: sent_at,
-            orders_from: now + self.handover_delay + HANDOVER_MARGIN,
+            orders_from: now + self.handover_delay + HANDOVER_MARGIN + lease_wait,
             extension_asked_at: None,
         });
     }
 
-    /// Records that a renewal sent at `sent_at` was acknowledged.
-    pub fn renewed(&mut self, sent_at: Time) {
-        if let Some(held) = &mut self.held {
+    /// Whether this host held the claim of an earlier era when it noticed the present one, so
+    /// that no other host can have given orders since.
+    #[must_use]
+    pub fn can_carry_over(&self, now: Time, noticed_at: Time, era: Era) -> bool {
+        let held = self.held.filter(|held| held.fence.era < era);
+        let was_held = held.is_some_and(|held| held.is_in_force(noticed_at, self.ttl));
+        was_held && now.since(noticed_at) <= CARRY_OVER_PERIOD
+    }
+
+    /// Records that the claim, which this host held in an earlier era, was written again in the
+    /// era that it noticed at `noticed_at`. The host then gives orders as before. Returns false
+    /// if that took too long; the claim is then gained anew.
+    pub fn carry_over(
+        &mut self,
+        (noticed_at, sent_at, now): (Time, Time, Time),
+        fence: Fence,
+    ) -> bool {
+        if !self.can_carry_over(now, noticed_at, fence.era) {
+            return false;
+        }
+        self.held = self.held.map(|held| HeldClaim {
+            fence,
+            renewed_at: sent_at,
+            extension_asked_at: None,
+            ..held
+        });
+        true
+    }
+
+    /// Records that a renewal sent at `sent_at` was acknowledged in an era. A lease of the same
+    /// number in another era says nothing about the claim.
+    pub fn renewed(&mut self, sent_at: Time, era: Era) {
+        if let Some(held) = &mut self.held
+            && held.fence.era == era
+        {
             held.renewed_at = held.renewed_at.max(sent_at);
         }
     }
@@ -101,29 +167,33 @@
         self.held = None;
     }
 
-    /// Whether this host may give orders at `now`.
+    /// Whether this host may give orders at `now`, in the newest era that it knows.
     #[must_use]
-    pub fn state(&self, now: Time) -> ClaimState {
-        let Some(held) = self.held else {
+    pub fn state(&self, now: Time, era: Era) -> ClaimState {
+        let held = self.held.filter(|held| held.fence.era == era);
+        let Some(held) = held.filter(|held| held.is_in_force(now, self.ttl)) else {
             return ClaimState::NotHeld;
         };
-        let leased = now + LEASE_MARGIN < held.renewed_at + self.ttl;
-        let extended = held
-            .extension_asked_at
-            .is_some_and(|asked_at| now + LEASE_MARGIN < asked_at + PEER_EXTENSION_PERIOD);
-        if !leased && !extended {
-            return ClaimState::NotHeld;
-        }
         if now < held.orders_from {
             return ClaimState::Waiting(held.orders_from);
         }
         ClaimState::Active
     }
 
-    /// Fencing token of this host's orders, which increases each time that the claim is gained;
-    /// `None` if this host does not hold the claim.
+    /// The claim that this host holds, of the newest era or an earlier one.
     #[must_use]
-    pub fn fence(&self) -> Option<u64> {
-        self.held.map(|held| held.revision.0)
+    pub fn fence(&self) -> Option<Fence> {
+        self.held.map(|held| held.fence)
+    }
+}
+
+impl HeldClaim {
+    /// Whether the lease or its extension lasts long enough for an order sent at `now`.
+    fn is_in_force(&self, now: Time, ttl: Duration) -> bool {
+        let leased = now + LEASE_MARGIN < self.renewed_at + ttl;
+        let extended = self
+            .extension_asked_at
+            .is_some_and(|asked_at| now + LEASE_MARGIN < asked_at + PEER_EXTENSION_PERIOD);
+        leased || extended
     }
 }
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -1,12 +1,24 @@
 //! Which host may give orders, and from when.
 
-use mulberryrack_core::{Time, kv::Revision};
-use mulberryrack_fleet::{Claim, ClaimState};
+use mulberryrack_core::{
+    Time,
+    kv::{Era, Revision},
+};
+use mulberryrack_fleet::{Claim, ClaimState, Fence};
 use std::time::Duration;
 
 const TTL: Duration = Duration::from_millis(2_400);
 const HANDOVER_DELAY: Duration = Duration::from_secs(3);
 
+const ERA: Era = Era(1);
+
+fn fence(era: u64, revision: u64) -> Fence {
+    Fence {
+        era: Era(era),
+        revision: Revision(revision),
+    }
+}
+
 fn at(millis: u64) -> Time {
     Time::from_millis(millis)
 }
@@ -14,10 +26,10 @@
 /// A claim gained at 1 s whose lease is renewed every half second until `until`.
 fn claim_renewed_until(until: u64) -> Claim {
     let mut claim = Claim::new(TTL, HANDOVER_DELAY);
-    claim.gained(at(990), at(1_000), Revision(7));
+    claim.gained(at(990), at(1_000), fence(1, 7), None);
     (1_000..=until)
         .step_by(500)
-        .for_each(|sent| claim.renewed(at(sent)));
+        .for_each(|sent| claim.renewed(at(sent), ERA));
     claim
 }
 
@@ -25,27 +37,30 @@
 /// renews the lease from then on; `None` if the host gives no order within six seconds.
 fn first_order_after(gained: u64) -> Option<u64> {
     let mut claim = Claim::new(TTL, HANDOVER_DELAY);
-    claim.gained(at(gained), at(gained), Revision(8));
+    claim.gained(at(gained), at(gained), fence(1, 8), None);
     (gained..gained + 6_000)
         .step_by(500)
-        .for_each(|sent| claim.renewed(at(sent)));
-    (gained..gained + 6_000).find(|now| claim.state(at(*now)) == ClaimState::Active)
+        .for_each(|sent| claim.renewed(at(sent), ERA));
+    (gained..gained + 6_000).find(|now| claim.state(at(*now), ERA) == ClaimState::Active)
 }
 
 #[test]
 fn a_new_holder_waits_for_the_handover_delay() {
     let claim = claim_renewed_until(5_000);
-    assert!(matches!(claim.state(at(4_700)), ClaimState::Waiting(_)));
-    assert_eq!(claim.state(at(4_900)), ClaimState::Active);
-    assert_eq!(claim.fence(), Some(7));
+    assert!(matches!(
+        claim.state(at(4_700), ERA),
+        ClaimState::Waiting(_)
+    ));
+    assert_eq!(claim.state(at(4_900), ERA), ClaimState::Active);
+    assert_eq!(claim.fence(), Some(fence(1, 7)));
 }
 
 #[test]
 fn a_holder_without_acknowledged_renewals_stops_before_its_lease_ends() {
     let claim = claim_renewed_until(5_000);
-    assert_eq!(claim.state(at(7_000)), ClaimState::Active);
+    assert_eq!(claim.state(at(7_000), ERA), ClaimState::Active);
     // The lease counts from the time at which the renewal is sent, before it arrives.
-    assert_eq!(claim.state(at(7_150)), ClaimState::NotHeld);
+    assert_eq!(claim.state(at(7_150), ERA), ClaimState::NotHeld);
 }
 
 #[test]
@@ -53,7 +68,9 @@
     for last_renewal in (1_000..6_000).step_by(500) {
         let last_order = (0..20_000)
             .step_by(10)
-            .filter(|now| claim_renewed_until(last_renewal).state(at(*now)) == ClaimState::Active)
+            .filter(|now| {
+                claim_renewed_until(last_renewal).state(at(*now), ERA) == ClaimState::Active
+            })
             .max();
         // At the earliest, the lease ends its time to live after the renewal was sent.
         let lease_end = last_renewal + 2_400;
@@ -70,12 +87,12 @@
     for asked_at in (7_000..12_000).step_by(200) {
         claim.extended_by_peers(at(asked_at));
         assert_eq!(
-            claim.state(at(asked_at + 200)),
+            claim.state(at(asked_at + 200), ERA),
             ClaimState::Active,
             "{asked_at}"
         );
     }
-    assert_eq!(claim.state(at(12_500)), ClaimState::NotHeld);
+    assert_eq!(claim.state(at(12_500), ERA), ClaimState::NotHeld);
 }
 
 #[test]
@@ -85,7 +102,7 @@
     let (kv_recovered, order_delay) = (9_000, 300);
     let mut claim = claim_renewed_until(5_000);
     claim.extended_by_peers(at(kv_recovered - 1));
-    let is_active = |now: &u64| claim.state(at(*now)) == ClaimState::Active;
+    let is_active = |now: &u64| claim.state(at(*now), ERA) == ClaimState::Active;
     let last = (kv_recovered..20_000)
         .filter(is_active)
         .max()
@@ -98,6 +115,55 @@
 fn a_lost_claim_gives_no_orders() {
     let mut claim = claim_renewed_until(5_000);
     claim.lost();
-    assert_eq!(claim.state(at(5_100)), ClaimState::NotHeld);
+    assert_eq!(claim.state(at(5_100), ERA), ClaimState::NotHeld);
     assert_eq!(claim.fence(), None);
 }
+
+#[test]
+fn a_claim_of_an_earlier_era_gives_no_orders_and_is_not_renewed() {
+    let mut claim = claim_renewed_until(5_000);
+    assert_eq!(claim.state(at(5_100), Era(2)), ClaimState::NotHeld);
+    // The number of the lease is that of another host's lease by now.
+    claim.renewed(at(6_900), Era(2));
+    assert_eq!(claim.state(at(7_200), ERA), ClaimState::NotHeld);
+}
+
+#[test]
+fn a_holder_that_writes_its_claim_again_in_a_new_era_goes_on_with_a_higher_token() {
+    let mut claim = claim_renewed_until(5_000);
+    assert!(claim.can_carry_over(at(5_300), at(5_200), Era(2)));
+    let times = (at(5_200), at(5_300), at(5_340));
+    assert!(claim.carry_over(times, fence(2, 3)));
+    assert_eq!(claim.state(at(5_350), Era(2)), ClaimState::Active);
+    assert_eq!(claim.state(at(7_500), Era(2)), ClaimState::NotHeld);
+    let tokens = [fence(1, 7), fence(2, 3)].map(|fence| fence.token(ERA));
+    assert!(tokens[0] < tokens[1]);
+    assert_eq!(tokens[0], 7, "that of a host that knows no eras");
+}
+
+#[test]
+fn a_claim_is_not_carried_over_by_a_host_that_may_have_lost_it_or_took_too_long() {
+    for (noticed_at, now) in [(7_200, 7_300), (5_200, 6_800)] {
+        let mut claim = claim_renewed_until(5_000);
+        let times = (at(noticed_at), at(noticed_at), at(now));
+        assert!(!claim.carry_over(times, fence(2, 3)), "{noticed_at} {now}");
+        assert_eq!(claim.state(at(now), Era(2)), ClaimState::NotHeld);
+    }
+}
+
+#[test]
+fn a_claim_gained_right_after_the_service_went_back_waits_for_the_former_lease_too() {
+    for (noticed_at, first_order) in [(Some(900), 7_200), (Some(0), 4_800), (None, 4_800)] {
+        let mut claim = Claim::new(TTL, HANDOVER_DELAY);
+        let gained_at = if noticed_at == Some(0) { 3_000 } else { 1_000 };
+        claim.gained(
+            at(gained_at),
+            at(gained_at),
+            fence(2, 7),
+            noticed_at.map(at),
+        );
+        let expected = gained_at + first_order - 1_000;
+        let state = claim.state(at(gained_at), Era(2));
+        assert_eq!(state, ClaimState::Waiting(at(expected)), "{noticed_at:?}");
+    }
+}
--- a/crates/site/src/dialect.rs
+++ b/crates/site/src/dialect.rs
@@ -60,6 +60,10 @@
     /// The service did not apply the operation, or the answer does not say whether it did.
     fn store_answer(&self, op: &kv::Op, answer: &Response<Bytes>) -> kv::Outcome;
 
+    /// The era that an answer of the key-value service belongs to; `None` if the service does
+    /// not tell its eras.
+    fn store_era(&self, answer: &Response<Bytes>) -> Option<kv::Era>;
+
     /// Builds the request that carries an order to an engine.
     fn order_call(&self, order: &Order) -> Request<Bytes>;
 
