Soak: a store that goes back, upstreams that rest and that leave

The store goes back to a copy from before one of the last eight faults, and what operator and upstreams wrote is written again within 1.5 s.

--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -4,7 +4,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc, Condvar, Mutex,
@@ -23,6 +23,8 @@
     history: Vec<Value>,
     leases: u64,
     era: u64,
+    /// Keys that were written or removed in this era.
+    touched: BTreeSet<String>,
     /// Number of answered renewals of each lease.
     renewals: BTreeMap<u64, u32>,
 }
@@ -82,6 +84,7 @@
         let entry = (value, items.revision, lease);
         items.history.push(item(key, &entry));
         items.entries.insert(key.to_owned(), entry);
+        items.touched.insert(key.to_owned());
         changed.notify_all();
         items.revision
     }
@@ -98,9 +101,35 @@
         let era = items.era + 1;
         *items = copy.0.clone();
         items.era = era;
+        items.touched.clear();
         changed.notify_all();
     }
 
+    /// As [`Store::go_back`]; after a delay the operator and the engines write theirs again,
+    /// unless they have written something else since.
+    pub fn go_back_and_rewrite(&self, copy: &Copy, delay: Duration) {
+        let lost = self.copy().0.entries;
+        self.go_back(copy);
+        let store = self.clone();
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let theirs = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+            for (key, (value, ..)) in lost.into_iter().filter(|(key, _)| theirs(key)) {
+                store.put_untouched(&key, value);
+            }
+        });
+    }
+
+    fn put_untouched(&self, key: &str, value: Vec<u8>) {
+        let is_touched = {
+            let items = self.state.0.lock().expect("unpoisoned");
+            items.touched.contains(key)
+        };
+        if !is_touched {
+            self.put(key, value, 0);
+        }
+    }
+
     pub fn revision(&self) -> u64 {
         self.state.0.lock().expect("unpoisoned").revision
     }
@@ -118,6 +147,7 @@
         items.revision += 1;
         let revision = items.revision;
         items.entries.remove(key);
+        items.touched.insert(key.to_owned());
         items
             .history
             .push(json!({ "key": key, "revision": revision, "tombstone": true }));
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -15,6 +15,8 @@
 mod host;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/signs.rs"]
+mod signs;
 #[allow(dead_code)]
 #[path = "site/store.rs"]
 mod store;
@@ -31,6 +33,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
+use signs::Verdict;
 use std::{
     collections::HashMap,
     env, fs,
@@ -43,7 +46,7 @@
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
-use store::Store;
+use store::{Copy, Store};
 use upstream::{Request, Upstream, chunk, head};
 
 /// Seeds that failed once, each with a comment on the cause.
@@ -65,6 +68,12 @@
 /// Time for which a request runs at its upstream. It is long enough that most requests are at
 /// an upstream at any moment.
 const RUN_DURATION: Duration = Duration::from_millis(60);
+/// Number of replicas of the plain service.
+const REPLICA_COUNT: u32 = 2;
+/// Number of faults by which a copy of the store may be old.
+const MAX_COPY_AGE: usize = 8;
+/// Longest time until the operator and the engines write again what the store has lost.
+const MAX_REWRITE_MS: u64 = 1_500;
 /// Number of upstreams that end when they run [`CRASHING`].
 const FRAGILE_COUNT: usize = 10;
 /// Time for which an upstream that has ended stays away.
@@ -85,6 +94,19 @@
 /// the instance that the host chose; a stream of a model has the attempt's id in each event.
 fn run(request: &Request, stream: &mut TcpStream) {
     let id = request.header("attempt-id").to_owned();
+    let says = match signs::record_arrival(&id, request.header("target-instance")) {
+        Verdict::Run => "",
+        Verdict::RunAndSayLeaving => "Server-Leaving: 1\r\n",
+        Verdict::AskForRest => {
+            let text = format!(
+                "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nRetry-After: {}\r\n\
+                 Content-Length: 0\r\n\r\n",
+                signs::REST.as_secs_f64()
+            );
+            let _ = stream.write_all(text.as_bytes());
+            return;
+        }
+    };
     *RUNS
         .lock()
         .expect("unpoisoned")
@@ -93,7 +115,10 @@
     thread::sleep(RUN_DURATION);
     if !request.line.contains("/draft/") {
         let body = format!("{id} {}", request.header("target-instance"));
-        let more = format!("Connection: close\r\nContent-Length: {}\r\n", body.len());
+        let more = format!(
+            "{says}Connection: close\r\nContent-Length: {}\r\n",
+            body.len()
+        );
         // Fails if the host has closed the connection.
         let _ = stream.write_all((head(request, &more) + &body).as_bytes());
         return;
@@ -162,6 +187,10 @@
     upstreams: Vec<Upstream>,
     /// Requests that the fragile upstreams began to run.
     fragile_runs: Runs,
+    /// Copies of the store from before the last faults.
+    copies: Vec<Copy>,
+    /// Name of the replica of the plain service that leaves next.
+    replica: u32,
     version: u64,
     violations: Arc<Mutex<Vec<String>>>,
     stop: Arc<AtomicBool>,
@@ -176,6 +205,8 @@
             links: Vec::new(),
             upstreams: Vec::new(),
             fragile_runs: Runs::default(),
+            copies: Vec::new(),
+            replica: 0,
             version: 1,
             violations: Arc::default(),
             stop: Arc::default(),
@@ -248,7 +279,12 @@
     fn inject(&mut self, rng: &mut ChaCha8Rng, faults: &mut Vec<(Instant, Fault)>) {
         let ends_at = Instant::now() + Duration::from_millis(rng.random_range(200..1_200));
         let slot = rng.random_range(0..self.slots.len());
-        match rng.random_range(0..9) {
+        self.copies.push(self.store.copy());
+        let kind = rng.random_range(0..12);
+        if kind <= 5 {
+            signs::record_fault();
+        }
+        match kind {
             0..=3 => {
                 let link = rng.random_range(0..self.links.len());
                 self.links[link].set(FAULTS[rng.random_range(0..FAULTS.len())]);
@@ -274,14 +310,32 @@
                 self.slots[slot].host.signal("TERM");
                 self.add();
             }
+            8 => self.replace_replica(),
+            9 | 10 => {
+                let age = rng.random_range(1..=MAX_COPY_AGE).min(self.copies.len());
+                let copy = &self.copies[self.copies.len() - age];
+                let delay = Duration::from_millis(rng.random_range(50..MAX_REWRITE_MS));
+                self.store.go_back_and_rewrite(copy, delay);
+            }
             _ => self.write_next_config(),
         }
     }
 
+    /// Has a replica of the plain service say that it is leaving, without an entry that says
+    /// so, and registers another one at its address.
+    fn replace_replica(&mut self) {
+        signs::set_leaving(&format!("d{}", self.replica));
+        let next = format!("d{}", self.replica + REPLICA_COUNT);
+        let link = usize::try_from(self.replica % REPLICA_COUNT).expect("small");
+        self.register(&next, "desk", &self.links[link]);
+        self.replica += 1;
+    }
+
     fn repair(&mut self, fault: &Fault) {
         // The host may have been replaced in the meantime.
         let mut slots = self.slots.iter_mut();
         let mut slot_of = |name: &str| slots.find(|slot| slot.host.name == name);
+        signs::record_fault();
         match fault {
             Fault::Upstream(link) => self.links[*link].set(Mode::Pass),
             Fault::Store(name) => {
@@ -382,7 +436,11 @@
     let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
     let id = format!("{number:016x}");
     let more = if path == "/draft/" { wire::MODEL } else { "" };
+    signs::record_sent(&id, caller.host);
     let answer = caller.send("POST", path, &id, more);
+    if answer.complete {
+        signs::record_answered(&id);
+    }
     (id, answer)
 }
 
@@ -476,7 +534,9 @@
     for caller in std::mem::take(&mut site.callers) {
         caller.join().expect("a caller ends");
     }
-    std::mem::take(&mut *site.violations.lock().expect("unpoisoned"))
+    let mut violations = std::mem::take(&mut *site.violations.lock().expect("unpoisoned"));
+    violations.extend(signs::take_violations());
+    violations
 }
 
 #[test]
