Edge: a claim is carried over only under a lease of the same era

If the store went back twice while the holder wrote its claim again, the write could stand under a lease number of the era between, which may be another host's. The holder now tries again in the newest era instead, and gives the claim up only if the era did not rise meanwhile. Found by reading; the tests with real hosts pass as before, and the model plays rises 50 ms apart.

--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -120,7 +120,8 @@
         to = shared.store.era().0,
         claim_carried_over = carried_over,
     );
-    if !carried_over {
+    // If the era has risen again meanwhile, the claim may still be carried over into that.
+    if !carried_over && shared.store.rises() == rises {
         shared.claim.borrow_mut().lost();
         time::sleep(eras::spread_delay(shared)).await;
     }
@@ -147,24 +148,17 @@
         return false;
     }
     let sent_at = shared.clock.now();
-    let Some(revision) = write_claim(shared, keys, expect).await else {
+    let written = write_claim(shared, keys, expect).await;
+    let (Some(revision), true) = (written, shared.store.rises() == keys.rises) else {
         return false;
     };
-    let (now, era_now) = (shared.clock.now(), shared.store.era());
-    let fence = Fence {
-        era: era_now,
-        revision,
-    };
+    let now = shared.clock.now();
+    let fence = Fence { era, revision };
     let times = (noticed_at, sent_at, now);
     let carried_over = shared.claim.borrow_mut().carry_over(times, fence);
     if carried_over {
         let revision = fence.revision.0;
-        journal!(
-            info,
-            "claim-carried-over",
-            era = era_now.0,
-            fence = revision
-        );
+        journal!(info, "claim-carried-over", era = era.0, fence = revision);
     } else {
         record_gained(shared, sent_at, fence, None);
     }
