Test: late answers of an earlier era, claims that the copy has, claims of nobody

The stand-in for the key-value service named the era at which an answer was sent, not the one in which the call was executed, and did not know the call that reads one key, so that a claim in the copy was never carried over in a test. Both are mended; answers can be late. Three tests with real hosts follow; all pass without a change of the program.

--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
-        Arc, Condvar, Mutex,
+        Arc, Condvar, Mutex, RwLock,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -40,6 +40,10 @@
     state: Arc<(Mutex<Items>, Condvar)>,
     /// While set, calls are executed but never answered, not even after it is cleared.
     pub silent: Arc<AtomicBool>,
+    /// Calls with this text in path or body are answered with a delay after they are executed.
+    pub late: Arc<Mutex<Option<(&'static str, Duration)>>>,
+    /// Held for reading by a call while it is executed, so that it belongs to one era.
+    executing: Arc<RwLock<()>>,
 }
 
 fn item(key: &str, (value, revision, lease): &(Vec<u8>, u64, u64)) -> Value {
@@ -48,20 +52,22 @@
 
 impl Store {
     pub fn start() -> Self {
-        Self::open(Arc::default())
+        Self::open(Arc::default(), Arc::default())
     }
 
     /// Serves the same items at another address, which can be silenced separately.
     pub fn second_address(&self) -> Self {
-        Self::open(self.state.clone())
+        Self::open(self.state.clone(), self.executing.clone())
     }
 
-    fn open(state: Arc<(Mutex<Items>, Condvar)>) -> Self {
+    fn open(state: Arc<(Mutex<Items>, Condvar)>, executing: Arc<RwLock<()>>) -> Self {
         let server = Server::http("127.0.0.1:0").expect("a free port");
         let store = Self {
             address: server.server_addr().to_ip().expect("an IP address"),
             state,
             silent: Arc::default(),
+            late: Arc::default(),
+            executing,
         };
         let serving = store.clone();
         thread::spawn(move || {
@@ -96,6 +102,7 @@
     /// Loses everything that was written since the copy, leases too. Revisions and numbers of
     /// leases are given out again.
     pub fn go_back(&self, copy: &Copy) {
+        let _exclusive = self.executing.write().expect("unpoisoned");
         let (items, changed) = &*self.state;
         let mut items = items.lock().expect("unpoisoned");
         let era = items.era + 1;
@@ -184,10 +191,42 @@
             .filter_map(|pair| pair.split_once('='))
             .collect();
         let call = path.trim_start_matches("/mulberryrack/");
-        let (status, answer) = match call.split('/').next() {
+        let (status, answer, era) = if call == "kv-watch" {
+            self.watch(&query)
+        } else {
+            let _shared = self.executing.read().expect("unpoisoned");
+            let (status, answer) = self.execute(call, &query, &body);
+            (status, answer, self.era())
+        };
+        let late = *self.late.lock().expect("unpoisoned");
+        if let Some((_, delay)) = late.filter(|(text, _)| url.contains(text) || body.contains(text))
+        {
+            thread::sleep(delay);
+        }
+        if silent || self.silent.load(Ordering::Relaxed) {
+            // The library would answer the request when it is dropped.
+            std::mem::forget(request);
+            return;
+        }
+        let header = format!("Store-Era: {era}").parse::<Header>();
+        let answer = Response::from_string(answer.to_string())
+            .with_status_code(status)
+            .with_header(header.expect("a header"));
+        // Fails if the host has closed the connection.
+        let _ = request.respond(answer);
+    }
+
+    fn era(&self) -> u64 {
+        self.state.0.lock().expect("unpoisoned").era
+    }
+
+    /// Executes any call but a watch.
+    fn execute(&self, call: &str, query: &BTreeMap<&str, &str>, body: &str) -> (u16, Value) {
+        let silent = self.silent.load(Ordering::Relaxed);
+        match call.split('/').next() {
             Some("kv-range") => (200, self.range(query["prefix"])),
-            Some("kv-watch") => self.watch(&query),
-            Some("kv-txn") => self.transaction(&serde_json::from_str(&body).expect("JSON")),
+            Some("kv-key") => self.key(query["key"]),
+            Some("kv-txn") => self.transaction(&serde_json::from_str(body).expect("JSON")),
             Some("kv-lease") => {
                 let mut items = self.state.0.lock().expect("unpoisoned");
                 items.leases += 1;
@@ -210,19 +249,13 @@
                 (200, json!({}))
             }
             _ => (404, json!({})),
-        };
-        if silent || self.silent.load(Ordering::Relaxed) {
-            // The library would answer the request when it is dropped.
-            std::mem::forget(request);
-            return;
         }
-        let era = self.state.0.lock().expect("unpoisoned").era;
-        let header = format!("Store-Era: {era}").parse::<Header>();
-        let answer = Response::from_string(answer.to_string())
-            .with_status_code(status)
-            .with_header(header.expect("a header"));
-        // Fails if the host has closed the connection.
-        let _ = request.respond(answer);
+    }
+
+    fn key(&self, key: &str) -> (u16, Value) {
+        let items = self.state.0.lock().expect("unpoisoned");
+        let entry = items.entries.get(key);
+        entry.map_or((404, json!({})), |entry| (200, item(key, entry)))
     }
 
     fn range(&self, prefix: &str) -> Value {
@@ -235,7 +268,7 @@
         json!({ "items": matching, "has-more": false, "current-rev": items.revision })
     }
 
-    fn watch(&self, query: &BTreeMap<&str, &str>) -> (u16, Value) {
+    fn watch(&self, query: &BTreeMap<&str, &str>) -> (u16, Value, u64) {
         let after: u64 = query["after"].parse().expect("a number");
         let wait = Duration::from_millis(query["wait-ms"].parse().expect("a number"));
         let until = Instant::now() + wait;
@@ -243,21 +276,19 @@
         let mut items = items.lock().expect("unpoisoned");
         let era = items.era;
         if after > items.revision {
-            return (410, json!({}));
+            return (410, json!({}), era);
         }
         while items.revision <= after && items.era == era && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             items = changed.wait_timeout(items, left).expect("unpoisoned").0;
         }
         if items.era != era {
-            return (410, json!({}));
+            return (410, json!({}), items.era);
         }
         let newer = |event: &&Value| event["revision"].as_u64() > Some(after);
         let events: Vec<Value> = items.history.iter().filter(newer).cloned().collect();
-        (
-            200,
-            json!({ "events": events, "current-rev": items.revision }),
-        )
+        let answer = json!({ "events": events, "current-rev": items.revision });
+        (200, answer, era)
     }
 
     fn transaction(&self, body: &Value) -> (u16, Value) {
--- a/crates/daemon/tests/store_era.rs
+++ b/crates/daemon/tests/store_era.rs
@@ -261,3 +261,53 @@
     }
     host.wait_until(|host| host.logged("event=config version=9") == 1);
 }
+
+#[test]
+fn a_holder_whose_claim_the_copy_has_goes_on_under_a_new_token() {
+    let (orders, desk) = (Orders::default(), Upstream::start(answer));
+    let store = start_store(&orders, &desk);
+    let host = Host::start_with(store.second_address());
+    wait_for("an order", || count(&orders) > 0);
+    let copy = store.copy();
+    write_fillers(&store, 5);
+    store.go_back(&copy);
+    host.wait_until(|host| host.logged("event=claim-carried-over") == 1);
+    let before = count(&orders);
+    wait_for("further orders", || count(&orders) > before + 1);
+    check(&orders);
+    let orders = orders.lock().expect("unpoisoned");
+    assert!(orders.last().map(|it| it.token) > orders.first().map(|it| it.token));
+}
+
+#[test]
+fn a_claim_whose_late_answer_is_of_an_earlier_era_is_not_held() {
+    let (orders, desk) = (Orders::default(), Upstream::start(answer));
+    let store = start_store(&orders, &desk);
+    store.put("mulberryrack/first-era", b"0".to_vec(), 0);
+    let copy = store.copy();
+    let second = store.second_address();
+    *second.late.lock().expect("unpoisoned") = Some((CLAIM, Duration::from_millis(900)));
+    let host = Host::start_with(second.clone());
+    wait_for("a claim", || store.get(CLAIM).is_some());
+    store.go_back(&copy);
+    host.wait_until(|host| host.logged("event=era-changed") == 1);
+    assert_eq!(host.logged("event=claim-gained"), 0);
+    *second.late.lock().expect("unpoisoned") = None;
+    host.wait_until(|host| host.logged("event=claim-gained era=1") == 1);
+    wait_for("an order", || count(&orders) > 0);
+    check(&orders);
+    assert_eq!(host.logged("event=claim-gained era=0"), 0);
+}
+
+#[test]
+fn a_claim_that_nobody_holds_is_replaced() {
+    let (orders, desk) = (Orders::default(), Upstream::start(answer));
+    let store = start_store(&orders, &desk);
+    let gone = json!({
+        "host": "gone", "data_centre": "a", "callers": "127.0.0.1:9", "peers": "127.0.0.1:9",
+    });
+    store.write(CLAIM, &gone);
+    let host = Host::start_with(store.second_address());
+    host.wait_until(|host| host.logged("event=claim-gained") == 1);
+    wait_for("an order", || count(&orders) > 0);
+}
