Edge, fleet: hosts of earlier versions tell no era, which is not era 0

A host of an earlier version answers other hosts with the revision of the newest claim only. It was read as a claim of era 0, so that a newer claim it had seen did not stop this host from extending its own in an outage. And a lease that such a host renewed was taken to be the claim's own, although the number may be another host's in a later era. The era is optional now: without it the revision alone decides, and the renewal keeps the registration but not the claim.

--- a/crates/edge/src/lease_extension.rs
+++ b/crates/edge/src/lease_extension.rs
@@ -7,7 +7,7 @@
     Name,
     kv::{Era, Revision},
 };
-use mulberryrack_fleet::Fence;
+use mulberryrack_fleet::{PeerEras, PeerView};
 use mulberryrack_site::Dialect;
 use mulberryrack_wire::plan::{Contact, Question, planner_client::PlannerClient};
 use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
@@ -39,15 +39,18 @@
         unreached_ms: since_answer.map_or(u64::MAX, millis),
         fence: holder.as_ref().map_or(0, |(_, fence)| fence.revision.0),
         fence_era: holder.as_ref().map_or(0, |(_, fence)| fence.era.0),
-        era: shared.store.era().0,
+        era: Some(shared.store.era().0),
     }
 }
 
-/// The newest claim that another host has seen.
-const fn fence_of(contact: &Contact) -> Fence {
-    Fence {
-        era: Era(contact.fence_era),
-        revision: Revision(contact.fence),
+/// What another host has seen of claims and eras.
+fn view_of(contact: &Contact) -> PeerView {
+    PeerView {
+        newest: Revision(contact.fence),
+        eras: contact.era.map(|known| PeerEras {
+            of_claim: Era(contact.fence_era),
+            known: Era(known),
+        }),
     }
 }
 
@@ -88,9 +91,8 @@
         let Some(fence) = shared.claim.borrow().fence() else {
             continue;
         };
-        let agrees = |it: &Contact| {
-            it.unreached_ms >= since_lease_end_ms && it.era <= fence.era.0 && fence_of(it) <= fence
-        };
+        let agrees =
+            |it: &Contact| it.unreached_ms >= since_lease_end_ms && fence.is_newest_to(view_of(it));
         let now_extended = contacts.is_some_and(|contacts| contacts.iter().all(agrees));
         if now_extended {
             shared.claim.borrow_mut().extended_by_peers(asked_at);
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -235,18 +235,24 @@
         grant(shared, keys).await;
         return;
     };
-    let (reached, renewed) = renew(shared, keys, lease).await;
+    let Renewal {
+        reached,
+        in_known_era,
+        result,
+    } = renew(shared, keys, lease).await;
     if reached && keys.renewal_unanswered {
         shared.store_recovered.notify_waiters();
     }
     keys.renewal_unanswered = !reached;
-    match renewed {
+    match result {
         // The answer is about a lease of an earlier era.
         _ if shared.store.rises() != keys.rises => {}
-        Ok(true) => {
+        Ok(true) if in_known_era => {
             let era = shared.store.era();
             shared.claim.borrow_mut().renewed(sent_at, era);
         }
+        // The registration lasts, but the lease of this number may not be that of the claim.
+        Ok(true) => {}
         Ok(false) => {
             journal!(warn, "lease-lost", lease = lease.0);
             shared.claim.borrow_mut().lost();
@@ -263,14 +269,19 @@
     }
 }
 
+/// The result of a renewal of the lease.
+struct Renewal {
+    /// Whether the service answered this host.
+    reached: bool,
+    /// Whether the answer is known to be of the era that this host knows.
+    in_known_era: bool,
+    /// Whether the lease is in force.
+    result: Result<bool, Fault>,
+}
+
 /// Renews the lease, with the help of another host if the key-value service does not answer
-/// this one. Returns whether the service answered this host, and whether the lease is in
-/// force.
-async fn renew<D: Dialect>(
-    shared: &Shared<D>,
-    keys: &OwnKeys,
-    lease: Lease,
-) -> (bool, Result<bool, Fault>) {
+/// this one.
+async fn renew<D: Dialect>(shared: &Shared<D>, keys: &OwnKeys, lease: Lease) -> Renewal {
     let op = Op::Renew { lease };
     let own = shared.store.call(&op);
     let (own, by_peer) = if keys.renewal_unanswered {
@@ -284,17 +295,29 @@
         (own, by_peer)
     };
     match (own, by_peer) {
-        (Ok(reply), _) => (true, Ok(reply == Reply::Renewed(true))),
-        (Err(_), Some(in_force)) => {
+        (Ok(reply), _) => Renewal {
+            reached: true,
+            in_known_era: true,
+            result: Ok(reply == Reply::Renewed(true)),
+        },
+        (Err(_), Some(renewal)) => {
             journal!(
                 info,
                 "lease-renewed-by-peer",
                 lease = lease.0,
-                in_force = in_force
+                in_force = renewal.in_force
             );
-            (false, Ok(in_force))
+            Renewal {
+                reached: false,
+                in_known_era: renewal.in_known_era || shared.store.era_noticed_at().is_none(),
+                result: Ok(renewal.in_force),
+            }
         }
-        (Err(fault), None) => (false, Err(fault)),
+        (Err(fault), None) => Renewal {
+            reached: false,
+            in_known_era: true,
+            result: Err(fault),
+        },
     }
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -143,7 +143,7 @@
                     let message = plan::Renewed {
                         answered: renewed.is_ok(),
                         in_force: renewed == Ok(Reply::Renewed(true)),
-                        era: shared.store.era().0,
+                        era: Some(shared.store.era().0),
                     };
                     let _gone = answer.send(message);
                 });
@@ -236,10 +236,19 @@
     }
 }
 
+/// The answer to a renewal through another host.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerRenewal {
+    /// Whether the lease is in force.
+    pub in_force: bool,
+    /// Whether that is known to be so in the era that this host knows. Hosts of earlier
+    /// versions do not tell.
+    pub in_known_era: bool,
+}
+
 /// Asks another host to renew this host's lease, for when this host does not reach the
-/// key-value service. Returns whether the lease is in force; `None` if the other host does
-/// not know it either.
-pub async fn renew_lease<D: Dialect>(shared: &Shared<D>, lease: Lease) -> Option<bool> {
+/// key-value service. `None` if the other host does not know whether the lease is in force.
+pub async fn renew_lease<D: Dialect>(shared: &Shared<D>, lease: Lease) -> Option<PeerRenewal> {
     let others = shared.other_hosts();
     // The time selects the host, so that successive calls do not all go to a host that is
     // cut off as well.
@@ -251,10 +260,14 @@
         Ok(renewed) => {
             let renewed = renewed.into_inner();
             let rises = shared.store.rises();
-            // Hosts that do not tell the era send 0.
-            let is_known = renewed.era == 0 || shared.store.follow_era(Era(renewed.era));
+            let is_known = renewed
+                .era
+                .is_none_or(|era| shared.store.follow_era(Era(era)));
             let is_same_era = is_known && shared.store.rises() == rises;
-            (renewed.answered && is_same_era).then_some(renewed.in_force)
+            (renewed.answered && is_same_era).then_some(PeerRenewal {
+                in_force: renewed.in_force,
+                in_known_era: renewed.era.is_some(),
+            })
         }
         Err(error) => {
             journal!(
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -44,6 +44,39 @@
         let eras = self.era.0.saturating_sub(first_era.0);
         (eras << REVISION_BITS) + self.revision.0
     }
+
+    /// Whether another host knows of nothing newer than this claim.
+    #[must_use]
+    pub fn is_newest_to(self, peer: PeerView) -> bool {
+        match peer.eras {
+            Some(eras) => {
+                let newest = Self {
+                    era: eras.of_claim,
+                    revision: peer.newest,
+                };
+                eras.known <= self.era && newest <= self
+            }
+            None => peer.newest <= self.revision,
+        }
+    }
+}
+
+/// What another host has seen of claims and eras.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerView {
+    /// Revision of the newest claim.
+    pub newest: Revision,
+    /// `None` from a host of a version that knows no eras.
+    pub eras: Option<PeerEras>,
+}
+
+/// The eras that another host knows.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerEras {
+    /// Era of the newest claim.
+    pub of_claim: Era,
+    /// The newest era.
+    pub known: Era,
 }
 
 /// Whether this host may give orders.
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -4,7 +4,7 @@
     Time,
     kv::{Era, Revision},
 };
-use mulberryrack_fleet::{Claim, ClaimState, Fence};
+use mulberryrack_fleet::{Claim, ClaimState, Fence, PeerEras, PeerView};
 use std::time::Duration;
 
 const TTL: Duration = Duration::from_millis(2_400);
@@ -167,3 +167,30 @@
         assert_eq!(state, ClaimState::Waiting(at(expected)), "{noticed_at:?}");
     }
 }
+
+#[test]
+fn a_claim_is_the_newest_to_a_host_that_knows_no_higher_era_or_revision() {
+    let eras = |of_claim, known| {
+        Some(PeerEras {
+            of_claim: Era(of_claim),
+            known: Era(known),
+        })
+    };
+    let cases = [
+        (5, None, true),
+        // Hosts of earlier versions tell only the revision.
+        (8, None, false),
+        (7, eras(2, 2), true),
+        (9, eras(1, 2), true),
+        (8, eras(2, 2), false),
+        (3, eras(2, 3), false),
+        (3, eras(3, 3), false),
+    ];
+    for (newest, eras, expected) in cases {
+        let peer = PeerView {
+            newest: Revision(newest),
+            eras,
+        };
+        assert_eq!(fence(2, 7).is_newest_to(peer), expected, "{peer:?}");
+    }
+}
