Edge, gate: one log line for each rest begun and one for its end

Requests that are under way when an upstream turns the first one away come back with rests of their own, each ending a little later. Each of them logged the begin of a rest and started a task that waited for its end, up to the upstream's slots at a time. A rest that is prolonged now has one task and two lines. Found by reading; the gate's test says that only the first one begins a rest.

--- a/crates/edge/src/signs.rs
+++ b/crates/edge/src/signs.rs
@@ -69,28 +69,33 @@
 
 fn record_rest<D: 'static>(shared: &Rc<Shared<D>>, asked: Asked, period: Duration) {
     let now = shared.clock.now();
-    let until = {
+    let begins = {
         let mut gate = shared.gate.borrow_mut();
         gate.record_rest(now, asked.id, asked.incarnation, period)
     };
-    let Some(until) = until else {
-        return;
+    if begins {
+        task::spawn_local(log_rest(shared.clone(), asked.id));
+    }
+}
+
+/// Logs the begin of a rest, and its end once it is over, however often it is prolonged.
+async fn log_rest<D>(shared: Rc<Shared<D>>, id: UpstreamId) {
+    let rest_until = || {
+        let now = shared.clock.now();
+        shared.gate.borrow().rest_until(now, id)
     };
-    let name = shared.gate.borrow().name(asked.id);
-    journal!(
-        info,
-        "upstream-rests",
-        upstream = name,
-        asked_ms = period.as_millis(),
-        for_ms = until.since(now).as_millis(),
-    );
-    let shared = shared.clone();
-    task::spawn_local(async move {
+    let name = shared.gate.borrow().name(id);
+    if let Some(until) = rest_until() {
+        let period = until.since(shared.clock.now());
+        journal!(
+            info,
+            "upstream-rests",
+            upstream = name,
+            for_ms = period.as_millis()
+        );
+    }
+    while let Some(until) = rest_until() {
         time::sleep_until(shared.clock.instant(until)).await;
-        let now = shared.clock.now();
-        // A longer rest may have been asked for since.
-        if !shared.gate.borrow().is_resting(now, asked.id) {
-            journal!(info, "upstream-rest-over", upstream = name);
-        }
-    });
+    }
+    journal!(info, "upstream-rest-over", upstream = name);
 }
--- a/crates/gate/src/rest.rs
+++ b/crates/gate/src/rest.rs
@@ -112,25 +112,34 @@
 
 impl Gate {
     /// Records that an upstream, in an answer of the given incarnation, asked for no requests
-    /// for a period. Returns the time until which it gets none, if that is news.
+    /// for a period. Returns whether a rest begins with that; it may also prolong one.
     pub fn record_rest(
         &mut self,
         now: Time,
         id: UpstreamId,
         incarnation: u64,
         period: Duration,
-    ) -> Option<Time> {
+    ) -> bool {
         let until = now + period.min(MAX_REST_PERIOD);
         let upstream = self.upstreams.get_mut(id);
         let is_longer = upstream.rest.is_none_or(|rest| rest.until < until);
         if upstream.registration.started_ms != incarnation || !is_longer || until <= now {
-            return None;
+            return false;
         }
+        let begins = !upstream.is_resting(now);
         upstream.rest = Some(Rest {
             until,
             dispatched: 0,
         });
-        Some(until)
+        begins
+    }
+
+    /// Time until which an upstream wants no requests from this host; `None` if it does not
+    /// rest now.
+    #[must_use]
+    pub fn rest_until(&self, now: Time, id: UpstreamId) -> Option<Time> {
+        let rest = self.upstreams.get(id).rest?;
+        (now < rest.until).then_some(rest.until)
     }
 
     /// Whether an upstream wants no requests from this host now.
--- a/crates/gate/tests/rest.rs
+++ b/crates/gate/tests/rest.rs
@@ -94,20 +94,35 @@
     gate.register(NOW + ms(100), restarted);
     assert!(!gate.is_resting(NOW + ms(100), first.id));
     // An answer of the former incarnation may arrive late.
-    let news = gate.record_rest(NOW + ms(120), first.id, request.incarnation(), ms(2_000));
-    assert_eq!(news, None);
+    assert!(!gate.record_rest(NOW + ms(120), first.id, request.incarnation(), ms(2_000)));
     let mut next = admit(&mut gate, NOW + ms(130));
     assert!(is_dispatched(&gate.decide(NOW + ms(130), &mut next, None)));
 }
 
 #[test]
-fn a_shorter_rest_does_not_replace_a_longer_one_and_an_endless_one_is_bounded() {
+fn a_rest_is_prolonged_but_not_shortened_and_is_bounded() {
     let mut gate = gate(&["d0"]);
     let (request, to) = turn_away(&mut gate, NOW, ms(2_000));
-    let mut rest = |period| gate.record_rest(NOW, to.id, request.incarnation(), period);
-    assert_eq!(rest(ms(300)), None);
-    assert_eq!(rest(Duration::ZERO), None);
-    assert_eq!(rest(Duration::MAX), Some(NOW + ms(600_000)));
+    let incarnation = request.incarnation();
+    let cases = [
+        (ms(300), ms(2_000)),
+        (Duration::ZERO, ms(2_000)),
+        (ms(2_500), ms(2_500)),
+        (Duration::MAX, ms(600_000)),
+    ];
+    for (period, until) in cases {
+        assert!(
+            !gate.record_rest(NOW, to.id, incarnation, period),
+            "it rests already"
+        );
+        assert_eq!(gate.rest_until(NOW, to.id), Some(NOW + until), "{period:?}");
+    }
+    let later = NOW + ms(600_000);
+    assert_eq!(gate.rest_until(later, to.id), None);
+    assert!(
+        gate.record_rest(later, to.id, incarnation, ms(1)),
+        "the next rest"
+    );
 }
 
 /// Starts requests that wait for a rest until `until`, with these ranks, and returns them.
