Read again as a newcomer: what an upstream's answer says is a module named replies

Cause: the module, the soak's checks and a test were named after a word that also stands for the signs of a crash; times and turns were bare tuples.

Change: edge::replies, soak/availability, upstream_availability; the write by which a claim is carried over and the place of a request in a rest's queue are types; an upstream's key and its incarnation are asked for one by one.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -5,6 +5,8 @@
 //! The environment variables `SOAK_FROM` and `SOAK_SEEDS` set the first seed and the number of
 //! seeds. Seeds that failed once stay in [`REGRESSIONS`].
 
+#[path = "soak/availability.rs"]
+mod availability;
 #[path = "soak/caller.rs"]
 mod caller;
 #[allow(dead_code)]
@@ -15,8 +17,6 @@
 mod host;
 #[path = "soak/proxy.rs"]
 mod proxy;
-#[path = "soak/signs.rs"]
-mod signs;
 #[allow(dead_code)]
 #[path = "site/store.rs"]
 mod store;
@@ -26,6 +26,7 @@
 #[path = "site/wire.rs"]
 mod wire;
 
+use availability::Verdict;
 use caller::{Answer, Caller};
 use engine::{CRASHING, Restart, Runs};
 use host::Host;
@@ -33,7 +34,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
-use signs::Verdict;
 use std::{
     collections::HashMap,
     env, fs,
@@ -94,14 +94,14 @@
 /// the instance that the host chose; a stream of a model has the attempt's id in each event.
 fn run(request: &Request, stream: &mut TcpStream) {
     let id = request.header("attempt-id").to_owned();
-    let says = match signs::record_arrival(&id, request.header("target-instance")) {
+    let says = match availability::record_arrival(&id, request.header("target-instance")) {
         Verdict::Run => "",
         Verdict::RunAndSayLeaving => "Server-Leaving: 1\r\n",
         Verdict::AskForRest => {
             let text = format!(
                 "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nRetry-After: {}\r\n\
                  Content-Length: 0\r\n\r\n",
-                signs::REST.as_secs_f64()
+                availability::REST.as_secs_f64()
             );
             let _ = stream.write_all(text.as_bytes());
             return;
@@ -282,7 +282,7 @@
         self.copies.push(self.store.copy());
         let kind = rng.random_range(0..12);
         if kind <= 5 {
-            signs::record_fault();
+            availability::record_fault();
         }
         match kind {
             0..=3 => {
@@ -324,7 +324,7 @@
     /// Has a replica of the plain service say that it is leaving, without an entry that says
     /// so, and registers another one at its address.
     fn replace_replica(&mut self) {
-        signs::set_leaving(&format!("d{}", self.replica));
+        availability::set_leaving(&format!("d{}", self.replica));
         let next = format!("d{}", self.replica + REPLICA_COUNT);
         let link = usize::try_from(self.replica % REPLICA_COUNT).expect("small");
         self.register(&next, "desk", &self.links[link]);
@@ -335,7 +335,7 @@
         // The host may have been replaced in the meantime.
         let mut slots = self.slots.iter_mut();
         let mut slot_of = |name: &str| slots.find(|slot| slot.host.name == name);
-        signs::record_fault();
+        availability::record_fault();
         match fault {
             Fault::Upstream(link) => self.links[*link].set(Mode::Pass),
             Fault::Store(name) => {
@@ -436,10 +436,10 @@
     let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
     let id = format!("{number:016x}");
     let more = if path == "/draft/" { wire::MODEL } else { "" };
-    signs::record_sent(&id, caller.host);
+    availability::record_sent(&id, caller.host);
     let answer = caller.send("POST", path, &id, more);
     if answer.complete {
-        signs::record_answered(&id);
+        availability::record_answered(&id);
     }
     (id, answer)
 }
@@ -535,7 +535,7 @@
         caller.join().expect("a caller ends");
     }
     let mut violations = std::mem::take(&mut *site.violations.lock().expect("unpoisoned"));
-    violations.extend(signs::take_violations());
+    violations.extend(availability::take_violations());
     violations
 }
 
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -3,8 +3,8 @@
 use crate::{
     client::{Connection, Probe, Remote},
     journal::journal,
+    replies::{self, Asked},
     shared::Shared,
-    signs::{self, Asked},
     suspects,
 };
 use mulberryrack_core::{Name, Time};
@@ -65,19 +65,24 @@
     }
 }
 
+/// Has whatever accepted a connection tell its name, unless it wants no requests now.
 async fn identify<D: Dialect>(
     shared: &Rc<Shared<D>>,
     target: &Target,
     connection: Connection,
 ) -> Finding {
     let at = shared.clock.now();
-    let path = {
+    let (path, asked) = {
         let gate = shared.gate.borrow();
+        let asked = Asked {
+            id: target.id,
+            incarnation: gate.incarnation(target.id),
+            at,
+        };
         let path = gate.health_path(target.id);
-        path.filter(|_| !gate.is_resting(at, target.id))
+        (path.filter(|_| !gate.is_resting(at, target.id)), asked)
     };
-    let asked = shared.gate.borrow().find(&target.name);
-    let (Some(path), Some((id, incarnation))) = (path, asked) else {
+    let Some(path) = path else {
         connection.return_to_pool(None);
         return Finding::Unanswered;
     };
@@ -88,12 +93,7 @@
     };
     let (head, _) = answer.into_parts();
     let reply = shared.dialect.read_reply_head(&head);
-    let asked = Asked {
-        id,
-        incarnation,
-        at,
-    };
-    signs::record_availability(shared, asked, &reply);
+    replies::record_availability(shared, asked, &reply);
     reply
         .upstream
         .map_or(Finding::Unanswered, Finding::Identified)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -8,8 +8,8 @@
     journal::journal,
     notices,
     peers::{self, PlannerLink},
+    replies::{self, Asked},
     shared::Shared,
-    signs::{self, Asked},
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header, request, response, uri::PathAndQuery};
@@ -433,7 +433,7 @@
             incarnation: state.incarnation(),
             at: now,
         };
-        signs::record(&self.shared, asked, &reply);
+        replies::record(&self.shared, asked, &reply);
         if reply
             .attempt_id
             .as_ref()
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -13,7 +13,7 @@
     Time, hash,
     kv::{Fault, Lease, Op, Reply, Revision},
 };
-use mulberryrack_fleet::{ClaimState, Fence};
+use mulberryrack_fleet::{ClaimState, Fence, Rewrite};
 use mulberryrack_site::Dialect;
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
@@ -130,12 +130,13 @@
 /// Writes the claim again that this host held in an earlier era, unless another host holds it.
 /// Returns whether the host holds it in the new era.
 async fn carry_claim_over<D: Dialect>(shared: &Rc<Shared<D>>, keys: &mut OwnKeys) -> bool {
-    let (Some(noticed_at), era) = (shared.store.era_noticed_at(), shared.store.era()) else {
+    let Some(era_noticed_at) = shared.store.era_noticed_at() else {
         return false;
     };
+    let era = shared.store.era();
     let can_carry_over = || {
         let claim = shared.claim.borrow();
-        claim.can_carry_over(shared.clock.now(), noticed_at, era)
+        claim.can_carry_over(shared.clock.now(), era_noticed_at, era)
     };
     if !can_carry_over() {
         return false;
@@ -152,10 +153,13 @@
     let (Some(revision), true) = (written, shared.store.rises() == keys.rises) else {
         return false;
     };
-    let now = shared.clock.now();
     let fence = Fence { era, revision };
-    let times = (noticed_at, sent_at, now);
-    let carried_over = shared.claim.borrow_mut().carry_over(times, fence);
+    let carried_over = shared.claim.borrow_mut().carry_over(Rewrite {
+        era_noticed_at,
+        sent_at,
+        answered_at: shared.clock.now(),
+        fence,
+    });
     if carried_over {
         let revision = fence.revision.0;
         journal!(info, "claim-carried-over", era = era.0, fence = revision);
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -1,7 +1,7 @@
 //! Datagrams between hosts: prompts that a host sends to engines, changes of the models that
 //! engines have in memory, upstreams that leave, and evidence on requests that crash upstreams.
 
-use crate::{journal::journal, shared::Shared, signs, suspects};
+use crate::{journal::journal, replies, shared::Shared, suspects};
 use mulberryrack_gate::{ModelChange, PromptNotice};
 use mulberryrack_wire::plan::{self, datagram::Body};
 use prost::Message;
@@ -115,8 +115,8 @@
         }
         Some(Body::Leaving(message)) => {
             let known = shared.gate.borrow().find(&message.upstream);
-            if let Some((id, _)) = known {
-                signs::record_leaving(shared, id, message.incarnation, "host");
+            if let Some(id) = known {
+                replies::record_leaving(shared, id, message.incarnation, "host");
             }
         }
         Some(Body::Suspects(message)) => suspects::receive(shared, message, sender),
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -5,8 +5,8 @@
     client::{Fault, Remote},
     journal::journal,
     notices,
+    replies::{self, Asked},
     shared::Shared,
-    signs::{self, Asked},
 };
 use bytes::Bytes;
 use http::Response;
@@ -64,8 +64,8 @@
         let planner = shared.planner.borrow();
         let gate = shared.gate.borrow();
         let is_resting = |entry: &&Upstream| {
-            gate.find(&entry.id)
-                .is_some_and(|(id, _)| gate.is_resting(now, id))
+            let id = gate.find(&entry.id);
+            id.is_some_and(|id| gate.is_resting(now, id))
         };
         let queried = planner.engines_to_query(now);
         let remotes = queried
@@ -124,12 +124,12 @@
 
 /// What is known of an engine that is about to be called.
 fn asked<D>(shared: &Shared<D>, engine: &str) -> Option<Asked> {
-    let (id, incarnation) = shared.gate.borrow().find(engine)?;
-    let at = shared.clock.now();
+    let gate = shared.gate.borrow();
+    let id = gate.find(engine)?;
     Some(Asked {
         id,
-        incarnation,
-        at,
+        incarnation: gate.incarnation(id),
+        at: shared.clock.now(),
     })
 }
 
@@ -143,7 +143,7 @@
     let (head, body) = answer.into_parts();
     if let Some(asked) = asked {
         let reply = shared.dialect.read_reply_head(&head);
-        signs::record_availability(shared, asked, &reply);
+        replies::record_availability(shared, asked, &reply);
     }
     Response::from_parts(head, body)
 }
--- a/crates/edge/src/signs.rs
+++ b/crates/edge/src/replies.rs
@@ -7,12 +7,13 @@
 use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 
-/// What was sent to an upstream, and when.
+/// What an answer belongs to: a request, order or health check that was sent to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
     pub id: UpstreamId,
-    /// Incarnation that was known then.
+    /// Incarnation of the upstream that was known when it was sent.
     pub incarnation: u64,
+    /// Time at which it was sent.
     pub at: Time,
 }
 
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -61,6 +61,19 @@
     }
 }
 
+/// The write by which a holder carries its claim over into a new era.
+#[derive(Clone, Copy, Debug)]
+pub struct Rewrite {
+    /// When the holder noticed the era.
+    pub era_noticed_at: Time,
+    /// When the call was sent.
+    pub sent_at: Time,
+    /// When the call was answered.
+    pub answered_at: Time,
+    /// The claim as it was written.
+    pub fence: Fence,
+}
+
 /// What another host has seen of claims and eras.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerView {
@@ -149,15 +162,17 @@
         was_held && now.since(noticed_at) <= CARRY_OVER_PERIOD
     }
 
-    /// Records that the claim, which this host held in an earlier era, was written again in the
-    /// era that it noticed at `noticed_at`. The host then gives orders as before. Returns false
-    /// if that took too long; the claim is then gained anew.
-    pub fn carry_over(
-        &mut self,
-        (noticed_at, sent_at, now): (Time, Time, Time),
-        fence: Fence,
-    ) -> bool {
-        if !self.can_carry_over(now, noticed_at, fence.era) {
+    /// Records that the claim, which this host held in an earlier era, was written again. The
+    /// host then gives orders as before. Returns false if that took too long; the claim is then
+    /// gained anew.
+    pub fn carry_over(&mut self, rewrite: Rewrite) -> bool {
+        let Rewrite {
+            era_noticed_at,
+            sent_at,
+            answered_at,
+            fence,
+        } = rewrite;
+        if !self.can_carry_over(answered_at, era_noticed_at, fence.era) {
             return false;
         }
         self.held = self.held.map(|held| HeldClaim {
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -4,7 +4,7 @@
     Time,
     kv::{Era, Revision},
 };
-use mulberryrack_fleet::{Claim, ClaimState, Fence, PeerEras, PeerView};
+use mulberryrack_fleet::{Claim, ClaimState, Fence, PeerEras, PeerView, Rewrite};
 use std::time::Duration;
 
 const TTL: Duration = Duration::from_millis(2_400);
@@ -132,8 +132,12 @@
 fn a_holder_that_writes_its_claim_again_in_a_new_era_goes_on_with_a_higher_token() {
     let mut claim = claim_renewed_until(5_000);
     assert!(claim.can_carry_over(at(5_300), at(5_200), Era(2)));
-    let times = (at(5_200), at(5_300), at(5_340));
-    assert!(claim.carry_over(times, fence(2, 3)));
+    assert!(claim.carry_over(Rewrite {
+        era_noticed_at: at(5_200),
+        sent_at: at(5_300),
+        answered_at: at(5_340),
+        fence: fence(2, 3),
+    }));
     assert_eq!(claim.state(at(5_350), Era(2)), ClaimState::Active);
     assert_eq!(claim.state(at(7_500), Era(2)), ClaimState::NotHeld);
     let tokens = [fence(1, 7), fence(2, 3)].map(|fence| fence.token(ERA));
@@ -145,8 +149,13 @@
 fn a_claim_is_not_carried_over_by_a_host_that_may_have_lost_it_or_took_too_long() {
     for (noticed_at, now) in [(7_200, 7_300), (5_200, 6_800)] {
         let mut claim = claim_renewed_until(5_000);
-        let times = (at(noticed_at), at(noticed_at), at(now));
-        assert!(!claim.carry_over(times, fence(2, 3)), "{noticed_at} {now}");
+        let rewrite = Rewrite {
+            era_noticed_at: at(noticed_at),
+            sent_at: at(noticed_at),
+            answered_at: at(now),
+            fence: fence(2, 3),
+        };
+        assert!(!claim.carry_over(rewrite), "{noticed_at} {now}");
         assert_eq!(claim.state(at(now), Era(2)), ClaimState::NotHeld);
     }
 }
--- a/crates/fleet/tests/claim_eras.rs
+++ b/crates/fleet/tests/claim_eras.rs
@@ -6,7 +6,7 @@
     Time,
     kv::{Era, Revision},
 };
-use mulberryrack_fleet::{Claim, ClaimState, Fence};
+use mulberryrack_fleet::{Claim, ClaimState, Fence, Rewrite};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -355,8 +355,13 @@
             }
             (Step::CarryPut, Some(Answer::Written(Some(revision)))) => {
                 let fence = host.fence(revision);
-                let times = (at(host.noticed_at), at(pending.sent_at), at(now));
-                if host.claim.carry_over(times, fence) {
+                let rewrite = Rewrite {
+                    era_noticed_at: at(host.noticed_at),
+                    sent_at: at(pending.sent_at),
+                    answered_at: at(now),
+                    fence,
+                };
+                if host.claim.carry_over(rewrite) {
                     (host.view, host.missing_until) = (Some((index, fence)), None);
                 } else {
                     self.gain(now, index, pending.sent_at, revision);
--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -42,7 +42,8 @@
 pub struct CrashReport {
     /// The upstream and its incarnation that ended.
     pub crash: Crash,
-    /// How it was noticed; `None` if the crash is withdrawn, as the upstream has answered.
+    /// How it was noticed; `None` if the crash is withdrawn, as the upstream has answered with
+    /// its name.
     pub sign: Option<CrashSign>,
     /// Fingerprints of this host's requests that were in flight.
     pub fingerprints: Vec<u128>,
@@ -175,7 +176,7 @@
             && self.broken_count(now, id) > 0
     }
 
-    /// Whether it is open if an upstream has ended, so that it should be asked for its name.
+    /// Whether an upstream should be asked for its name, as it is unclear if it has ended.
     #[must_use]
     pub fn needs_probe(&self, now: Time, id: UpstreamId) -> bool {
         self.may_have_crashed(now, id) || self.is_answered_after_end(id)
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -214,7 +214,7 @@
     }
 
     /// Records that an incarnation of an upstream said that it is leaving. Returns whether that
-    /// is news.
+    /// was not known of the present incarnation.
     pub fn record_leaving(&mut self, id: UpstreamId, incarnation: u64) -> bool {
         let upstream = self.upstreams.get_mut(id);
         let is_news = upstream.registration.started_ms == incarnation && !upstream.is_leaving();
@@ -286,11 +286,16 @@
         self.upstreams.get(id).registration.id.clone()
     }
 
-    /// Key and known incarnation of the upstream with a name.
+    /// Key of the upstream with a name.
     #[must_use]
-    pub fn find(&self, name: &str) -> Option<(UpstreamId, u64)> {
-        let id = self.upstreams.find(name)?;
-        Some((id, self.upstreams.get(id).registration.started_ms))
+    pub fn find(&self, name: &str) -> Option<UpstreamId> {
+        self.upstreams.find(name)
+    }
+
+    /// The known incarnation of an upstream.
+    #[must_use]
+    pub fn incarnation(&self, id: UpstreamId) -> u64 {
+        self.upstreams.get(id).registration.started_ms
     }
 
     /// The registrations of all upstreams that are registered now.
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -1,6 +1,6 @@
 //! The state of one request, and the decisions about it.
 
-use crate::{cache::PrefixChain, upstreams::UpstreamId};
+use crate::{cache::PrefixChain, rest::Turn, upstreams::UpstreamId};
 use mulberryrack_core::{
     Name, Time,
     outcome::{Refusal, Retry},
@@ -53,7 +53,7 @@
     /// in milliseconds.
     pub(crate) held_at: Option<(UpstreamId, f64)>,
     /// Place among the requests that wait for the end of a rest; `None` if it does not wait.
-    pub(crate) rest_turn: Option<(u8, Time, u64)>,
+    pub(crate) rest_turn: Option<Turn>,
     /// Prefixes of the prompt; empty for plain services.
     pub(crate) prefix_chain: PrefixChain,
 }
--- a/crates/gate/src/rest.rs
+++ b/crates/gate/src/rest.rs
@@ -73,14 +73,20 @@
 /// The requests that compete for the same upstreams: a service, and the model if one is needed.
 type Pool = (Name, Option<Name>);
 
-/// Place of a request among those of its pool: rank, arrival, and a number that is unique.
-type Turn = (u8, Time, u64);
+/// Place of a request among those of its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Turn {
+    rank: u8,
+    arrived_at: Time,
+    /// Unique among all turns that were given out; 0 for a request that does not wait yet.
+    number: u64,
+}
 
 /// The requests that wait for the end of a rest, in the order in which they are dispatched.
 #[derive(Debug, Default)]
 pub(crate) struct RestQueue {
     waiting: BTreeMap<Pool, BTreeSet<Turn>>,
-    next_number: u64,
+    last_number: u64,
 }
 
 impl RestQueue {
@@ -110,6 +116,15 @@
     (request.service.clone(), model)
 }
 
+/// The turn before all others of the same rank and arrival.
+fn first_turn(request: &RequestState) -> Turn {
+    Turn {
+        rank: request.route.priority,
+        arrived_at: request.arrived_at,
+        number: 0,
+    }
+}
+
 impl Gate {
     /// Records that an upstream, in an answer of the given incarnation, asked for no requests
     /// for a period. Returns whether a rest begins with that; it may also prolong one.
@@ -156,9 +171,11 @@
     }
 
     fn enter_rest_queue(&mut self, request: &mut RequestState) {
-        let number = self.rest_queue.next_number;
-        self.rest_queue.next_number += 1;
-        let turn = (request.route.priority, request.arrived_at, number);
+        self.rest_queue.last_number += 1;
+        let turn = Turn {
+            number: self.rest_queue.last_number,
+            ..first_turn(request)
+        };
         request.rest_turn = Some(turn);
         let waiting = &mut self.rest_queue.waiting;
         waiting.entry(pool_of(request)).or_default().insert(turn);
@@ -177,8 +194,7 @@
         if !self.rest_queue.is_waiting(&pool) {
             return None;
         }
-        let turn = (request.route.priority, request.arrived_at, 0);
-        let ahead = self.rest_queue.ahead(&pool, turn);
+        let ahead = self.rest_queue.ahead(&pool, first_turn(request));
         if ahead < usize::try_from(places).unwrap_or(usize::MAX) {
             return None;
         }
