--- a/crates/daemon/tests/store_era.rs
+++ b/crates/daemon/tests/store_era.rs
@@ -299,14 +299,41 @@
     assert_eq!(host.logged("event=claim-gained era=0"), 0);
 }
 
+/// Entry of a host that does not run.
+fn absent_host(name: &str) -> Value {
+    json!({
+        "host": name, "data_centre": "a", "callers": "127.0.0.1:9", "peers": "127.0.0.1:9",
+    })
+}
+
+#[test]
+fn hosts_of_a_large_deployment_stay_known_until_each_has_written_its_entry_again() {
+    let (orders, desk) = (Orders::default(), Upstream::start(answer));
+    let store = start_store(&orders, &desk);
+    for number in 0..1_400 {
+        let name = format!("absent-{number}");
+        store.write(&format!("mulberryrack/hosts/{name}"), &absent_host(&name));
+    }
+    let copy = store.copy();
+    let hosts: Vec<Host> = (0..4)
+        .map(|_| Host::start_with(store.second_address()))
+        .collect();
+    store.go_back(&copy);
+    for event in ["event=era-read era=1", "event=era-settled era=1"] {
+        for host in &hosts {
+            host.wait_until(|host| host.logged(event) == 1);
+        }
+    }
+    for host in &hosts {
+        assert_eq!(host.logged("event=era-settled era=1 gone_hosts=0"), 1);
+    }
+}
+
 #[test]
 fn a_claim_that_nobody_holds_is_replaced() {
     let (orders, desk) = (Orders::default(), Upstream::start(answer));
     let store = start_store(&orders, &desk);
-    let gone = json!({
-        "host": "gone", "data_centre": "a", "callers": "127.0.0.1:9", "peers": "127.0.0.1:9",
-    });
-    store.write(CLAIM, &gone);
+    store.write(CLAIM, &absent_host("gone"));
     let host = Host::start_with(store.second_address());
     host.wait_until(|host| host.logged("event=claim-gained") == 1);
     wait_for("an order", || count(&orders) > 0);
