Gate: a waiting request counts no more requests ahead than there are places

Callers see: after a rest with 2,000 requests waiting at a host, its thread is busy with their order alone.

Cause: each of them is decided on again every 10 ms while the return from a rest is paced, and counted all requests before it.

Change: the count ends at the number of places.

The order is the same; the tests of rests pass unchanged.

--- a/crates/gate/src/rest.rs
+++ b/crates/gate/src/rest.rs
@@ -94,10 +94,12 @@
         self.waiting.contains_key(pool)
     }
 
-    /// Number of requests that go before a turn.
-    fn ahead(&self, pool: &Pool, turn: Turn) -> usize {
-        let waiting = self.waiting.get(pool);
-        waiting.map_or(0, |turns| turns.range(..turn).count())
+    /// Whether a number of places is more than the requests that go before a turn.
+    fn has_place(&self, pool: &Pool, turn: Turn, places: usize) -> bool {
+        let Some(turns) = self.waiting.get(pool) else {
+            return places > 0;
+        };
+        turns.range(..turn).take(places).count() < places
     }
 
     fn remove(&mut self, pool: &Pool, turn: Turn) {
@@ -194,8 +196,11 @@
         if !self.rest_queue.is_waiting(&pool) {
             return None;
         }
-        let ahead = self.rest_queue.ahead(&pool, first_turn(request));
-        if ahead < usize::try_from(places).unwrap_or(usize::MAX) {
+        let places = usize::try_from(places).unwrap_or(usize::MAX);
+        if self
+            .rest_queue
+            .has_place(&pool, first_turn(request), places)
+        {
             return None;
         }
         self.enter_rest_queue(request);
