Soak: each seed begins without what earlier hosts have passed on

Cause: the checks keep what each host address has passed on, for the whole run. Upstreams have the same names in every seed, and the system gives a port out again, so that a new host was charged with what one at its address had passed on in an earlier seed. A host that has started since is excused by the rule.

Change: the checks forget everything before a seed, and what an address has passed on when a host starts there.

The bound is unchanged.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -261,6 +261,7 @@
     fn add(&mut self) {
         let link = Link::open(self.store.address);
         let host = Host::start_at(self.store.clone(), link.address);
+        availability::record_started(host.callers);
         for _ in 0..CALLERS_PER_HOST {
             let caller = Caller::new(host.callers);
             let (stop, violations) = (self.stop.clone(), self.violations.clone());
@@ -512,6 +513,7 @@
 }
 
 fn soak(seed: u64) -> Vec<String> {
+    availability::reset();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut site = Site::start();
     let mut faults: Vec<(Instant, Fault)> = Vec::new();
--- a/crates/daemon/tests/soak/availability.rs
+++ b/crates/daemon/tests/soak/availability.rs
@@ -47,6 +47,19 @@
     STATE.lock().expect("unpoisoned")
 }
 
+/// Forgets everything, before another deployment whose upstreams have the same names.
+pub fn reset() {
+    *state() = State::default();
+}
+
+/// Records that a host has started, which knows nothing of what an earlier one at its address
+/// has passed on.
+pub fn record_started(host: SocketAddr) {
+    let mut state = state();
+    state.passed_on.retain(|(other, _), _| *other != host);
+    state.rests.retain(|(other, _), _| *other != host);
+}
+
 /// Records that an attempt is sent to a host.
 pub fn record_sent(attempt: &str, host: SocketAddr) {
     let sent = (host, Instant::now());
