--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -564,3 +564,9 @@
     assert!(runs.len() > 100, "hardly anything ran: {}", runs.len());
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+#[test]
+#[ignore = "KNOWN-RED: a harmless request was turned away once after the faults"]
+fn a_harmless_request_is_served_after_the_faults_of_seed_3017() {
+    assert_eq!(soak(3017), Vec::<String>::new());
+}
