Edge: a host that knows no era tells none to others

Cause: since a host answered a renewal for another one with era 0 where the service tells none. The host that was cut off knew no era, took 0 for a new one, gave up its lease and listed everything again.

Change: the answer names an era only if the service has told one.

The new test fails without the change (left: 1, right: 0) and passes with it.

--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -40,6 +40,8 @@
     state: Arc<(Mutex<Items>, Condvar)>,
     /// While set, calls are executed but never answered, not even after it is cleared.
     pub silent: Arc<AtomicBool>,
+    /// While set, answers do not tell the era.
+    pub tells_no_era: Arc<AtomicBool>,
     /// Calls with this text in path or body are answered with a delay after they are executed.
     pub late: Arc<Mutex<Option<(&'static str, Duration)>>>,
     /// Held for reading by a call while it is executed, so that it belongs to one era.
@@ -66,6 +68,7 @@
             address: server.server_addr().to_ip().expect("an IP address"),
             state,
             silent: Arc::default(),
+            tells_no_era: Arc::default(),
             late: Arc::default(),
             executing,
         };
@@ -209,9 +212,10 @@
             return;
         }
         let header = format!("Store-Era: {era}").parse::<Header>();
-        let answer = Response::from_string(answer.to_string())
-            .with_status_code(status)
-            .with_header(header.expect("a header"));
+        let mut answer = Response::from_string(answer.to_string()).with_status_code(status);
+        if !self.tells_no_era.load(Ordering::Relaxed) {
+            answer.add_header(header.expect("a header"));
+        }
         // Fails if the host has closed the connection.
         let _ = request.respond(answer);
     }
--- a/crates/daemon/tests/store_era.rs
+++ b/crates/daemon/tests/store_era.rs
@@ -299,6 +299,26 @@
     assert_eq!(host.logged("event=claim-gained era=0"), 0);
 }
 
+#[test]
+fn a_renewal_through_another_host_begins_no_era_if_the_store_tells_none() {
+    let (orders, desk) = (Orders::default(), Upstream::start(answer));
+    let store = start_store(&orders, &desk);
+    let addresses = [store.second_address(), store.second_address()];
+    let hosts = addresses.map(|address| {
+        address.tells_no_era.store(true, Ordering::Relaxed);
+        Host::start_with(address)
+    });
+    let query = "GET /mulberryrack/resolve?name=x&region=r&zone=a HTTP/1.1\r\n\
+                 Host: x\r\nConnection: close\r\n\r\n";
+    let other = hosts[1].callers.to_string();
+    hosts[0].wait_until(|host| exchange(host.directory, query).contains(&other));
+    hosts[0].store.silent.store(true, Ordering::Relaxed);
+    hosts[0].wait_until(|host| {
+        host.logged("event=lease-renewed-by-peer") > 1 || host.logged("event=era-changed") > 0
+    });
+    assert_eq!(hosts[0].logged("event=era-changed"), 0);
+}
+
 /// Entry of a host that does not run.
 fn absent_host(name: &str) -> Value {
     json!({
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -143,7 +143,7 @@
                     let message = plan::Renewed {
                         answered: renewed.is_ok(),
                         in_force: renewed == Ok(Reply::Renewed(true)),
-                        era: Some(shared.store.era().0),
+                        era: shared.store.told_era().map(|era| era.0),
                     };
                     let _gone = answer.send(message);
                 });
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -60,6 +60,11 @@
         self.era.get().map_or(Era(0), |(era, _)| era)
     }
 
+    /// The newest era that this host knows; `None` if the service does not tell its eras.
+    pub fn told_era(&self) -> Option<Era> {
+        self.era.get().map(|(era, _)| era)
+    }
+
     /// When the newest era was noticed; `None` if the service does not tell its eras.
     pub fn era_noticed_at(&self) -> Option<Time> {
         self.era.get().map(|(_, noticed_at)| noticed_at)
