Gate: a refused connection adds no request to the retry budget

Cause: an empty list of tried upstreams was the sign of two facts, "not sent" and "never arrived". A connection that was refused removed its upstream from the list, so that the next dispatch counted as the first one of another request: the budget grew by a fifth of a retry for each refused connection. An upstream that an earlier dispatch had reached was forgotten too, and with it an arrival and a place against max-attempts. A retry that was not sent stayed charged. And each start of a host could use 0.3 of the extra retries at once, several starts in a window several times that.

Change: a request counts once, a dispatch is a retry if an earlier one may have arrived, an upstream is forgotten only if the unsent dispatch was the first to it, and an unsent retry is refunded. In a host's first window the extra part begins at 0.05 and grows by 0.2.

--- a/crates/daemon/tests/site/host.rs
+++ b/crates/daemon/tests/site/host.rs
@@ -50,6 +50,11 @@
     /// As [`Host::start_with`], but the host reaches the store at `store_address`, for example
     /// through a proxy.
     pub fn start_at(store: Store, store_address: SocketAddr) -> Self {
+        Self::start_bounded(store, store_address, "")
+    }
+
+    /// As [`Host::start_at`], with further lines of the settings' section `bounds`.
+    pub fn start_bounded(store: Store, store_address: SocketAddr, bounds: &str) -> Self {
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let file = format!("mulberryrack-site-{}-{number}.ini", std::process::id());
         let path = std::env::temp_dir().join(file);
@@ -57,7 +62,7 @@
             "[host]\nname = h{number}\ndata_centre = a\nip = 127.0.0.1\n\
              caller_address = 127.0.0.1:0\nreadiness_address = 127.0.0.1:0\n\
              directory_address = 127.0.0.1:0\npeer_port = 0\nmetrics_port = 0\n\
-             descriptors = 400\n[store]\naddress = {store_address}\n[bounds]\ngrace_s = 6\n"
+             descriptors = 400\n[store]\naddress = {store_address}\n[bounds]\ngrace_s = 6\n{bounds}"
         );
         fs::write(&path, text).expect("a writable directory");
         let mut child = Command::new(env!("CARGO_BIN_EXE_mulberryrackd"))
--- a/crates/gate/src/budget.rs
+++ b/crates/gate/src/budget.rs
@@ -6,9 +6,11 @@
 /// Share of the allowed retries that is used. The remainder covers differences between the
 /// window here and the window in which the limit is measured.
 const USED_SHARE: f64 = 0.7;
-/// Share of the retries beyond the share of requests that a host uses in its first window. Its
-/// former incarnation may have spent [`USED_SHARE`] of them just before.
-const FIRST_USED_SHARE: f64 = 1.0 - USED_SHARE;
+/// Share of the retries beyond the share of requests that a host may use from its start on, and
+/// that it may use in addition by the end of its first window. Former incarnations may have
+/// spent [`USED_SHARE`] of them just before, and this share as well if they were short.
+const STARTING_SHARE: f64 = 0.05;
+const FIRST_WINDOW_SHARE: f64 = 0.2;
 
 /// The retry budget of one service at one host.
 #[derive(Debug, Default)]
@@ -20,18 +22,22 @@
 }
 
 impl RetryBudget {
-    /// Records the first dispatch of a request, which increases the budget.
+    /// Records a request that is about to be dispatched for the first time, which increases the
+    /// budget. Called once for each request.
     pub fn record_first(&mut self, now: Time, window: Duration) {
         drop_expired(&mut self.firsts, now, window);
         self.firsts.push_back(now);
     }
 
     /// Records a retry if the budget allows one, and returns whether it does. The budget of a
-    /// window is `share` times its first dispatches, plus `extra`, all times `USED_SHARE`, with
-    /// less of `extra` in the first window after the host's start at [`Time::ZERO`].
+    /// window is `share` times its requests, plus `extra`, all times `USED_SHARE`, with less of
+    /// `extra` in the first window after the host's start at [`Time::ZERO`]. It grows in this
+    /// window, so that several short lives spend together hardly more than a long one.
     pub fn try_spend(&mut self, now: Time, window: Duration, share: f64, extra: f64) -> bool {
-        let used_extra = if now.since(Time::ZERO) < window {
-            FIRST_USED_SHARE * extra
+        let lifetime = now.since(Time::ZERO);
+        let used_extra = if lifetime < window {
+            let part = lifetime.as_secs_f64() / window.as_secs_f64();
+            (STARTING_SHARE + FIRST_WINDOW_SHARE * part) * extra
         } else {
             USED_SHARE * extra
         };
@@ -48,6 +54,15 @@
     }
 }
 
+impl RetryBudget {
+    /// Takes back a retry that was recorded at `at` and has not been sent.
+    pub fn refund(&mut self, at: Time) {
+        if let Some(index) = self.retries.iter().rposition(|time| *time == at) {
+            self.retries.remove(index);
+        }
+    }
+}
+
 fn drop_expired(times: &mut VecDeque<Time>, now: Time, window: Duration) {
     let expired = |time: &Time| now.since(*time) > window;
     while times.front().is_some_and(expired) {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -7,7 +7,7 @@
     completions::Completions,
     crash::CrashReport,
     read_time::ReadTimes,
-    request::{Decision, Ending, RequestState, Target},
+    request::{Charge, Decision, Ending, RequestState, Target},
     rest::RestQueue,
     tuning::Tuning,
     upstreams::{EVENT_INTERVAL, UpstreamId, Upstreams},
@@ -377,6 +377,7 @@
             arrived_at: now,
             deadline: now + timeout,
             tried: Vec::new(),
+            charge: Charge::default(),
             excluded: Vec::new(),
             may_have_run: false,
             prefix_chain,
@@ -503,9 +504,11 @@
         candidates: usize,
         retry: Option<Retry>,
     ) -> Target {
-        if !request.tried.contains(&candidate.id) {
+        request.charge.is_first_there = !request.tried.contains(&candidate.id);
+        if request.charge.is_first_there {
             request.tried.push(candidate.id);
         }
+        request.charge.arrivals += 1;
         self.record_place_taken(now, candidate.id);
         let is_suspect = self.suspects.is_suspect(request.fingerprint);
         request.suspect_at = is_suspect.then_some(candidate.id);
@@ -608,8 +611,9 @@
     }
 
     /// Records a dispatch in the retry budget of the request's service. Returns false if the
-    /// dispatch is a retry that the budget does not allow.
-    fn charge_retry_budget(&mut self, now: Time, request: &RequestState) -> bool {
+    /// dispatch is a retry that the budget does not allow. Dispatches that have certainly not
+    /// arrived make no later one a retry, nor a request count twice.
+    fn charge_retry_budget(&mut self, now: Time, request: &mut RequestState) -> bool {
         let host_count = f64::from(self.budget_host_count(now));
         let budget = self
             .retry_budgets
@@ -621,11 +625,13 @@
             retry_extra,
             ..
         } = self.tuning;
-        if request.tried.is_empty() {
+        if !request.charge.is_counted {
             budget.record_first(now, retry_window);
-            return true;
+            request.charge.is_counted = true;
         }
-        budget.try_spend(now, retry_window, retry_share, retry_extra / host_count)
+        request.charge.is_retry = request.charge.arrivals > 0;
+        !request.charge.is_retry
+            || budget.try_spend(now, retry_window, retry_share, retry_extra / host_count)
     }
 
     /// The decision for a request without an eligible upstream: the request waits if its model
@@ -714,6 +720,20 @@
         }
     }
 
+    /// Takes back what was recorded of a request's last dispatch, of which no byte was sent.
+    fn forget_dispatch(&mut self, request: &mut RequestState, id: UpstreamId) {
+        request.charge.arrivals = request.charge.arrivals.saturating_sub(1);
+        if request.charge.is_first_there {
+            request.tried.retain(|tried| *tried != id);
+        }
+        if let (Some(budget), true) = (
+            self.retry_budgets.get_mut(&request.service),
+            request.charge.is_retry,
+        ) {
+            budget.refund(request.dispatched_at);
+        }
+    }
+
     /// Records how a dispatch ended. [`Gate::decide`] says how a request continues that is
     /// not done.
     pub fn record_ending(
@@ -729,7 +749,7 @@
         upstream.record_ending(now, ending);
         match ending {
             Ending::NotSent => {
-                request.tried.retain(|tried| *tried != id);
+                self.forget_dispatch(request, id);
                 request.excluded.push(id);
             }
             Ending::Misplaced => match &request.head.generation {
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -12,6 +12,19 @@
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+/// What the retry budget knows of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Charge {
+    /// Whether the request is counted among those that the retries are a share of.
+    pub is_counted: bool,
+    /// Dispatches that may have arrived, also several at the same upstream.
+    pub arrivals: u32,
+    /// Whether a retry was spent on the last dispatch.
+    pub is_retry: bool,
+    /// Whether the last dispatch was the first one to its upstream.
+    pub is_first_there: bool,
+}
+
 /// State of one request between its arrival and its end.
 #[derive(Clone, Debug)]
 pub struct RequestState {
@@ -29,9 +42,11 @@
     pub arrived_at: Time,
     /// End of the caller's own timeout or of the route's timeout, whichever is earlier.
     pub deadline: Time,
-    /// Upstreams to which the request was dispatched, without those that it never reached, in
-    /// the order of the first dispatch. Invariant: each occurs once.
+    /// Upstreams that the request may have reached, in the order of the first dispatch.
+    /// Invariant: each occurs once.
     pub(crate) tried: Vec<UpstreamId>,
+    /// What the retry budget knows of the request.
+    pub(crate) charge: Charge,
     /// Upstreams that must not be selected. A stream that has begun may make some of them
     /// selectable again.
     pub(crate) excluded: Vec<UpstreamId>,
