Edge: bounds on bytes without end, from every peer

Cause: an answer's head or body could go on until the host closed. The client had hyper's default limits, interim answers were skipped without a limit, the body of a rejection was read for 250 ms without a bound, the answer of a call up to 16 MiB, and each piece of a stream searched the whole buffer again. Any byte counted as a sign of life, so that a trickle kept a stream open. A caller's body in tiny chunks kept one buffer for each byte.

Change: edge::bounds holds what is read of each peer at most, edge::meter counts the bytes of a connection, also those that are neither head nor body. At a bound the connection is closed, the event logged and counted, the ending is Excessive (may have run, unless a head said that it has not) and other upstreams are preferred for a while. Only whole events are signs of life. Calls between hosts have a message size and a timeout.

--- a/crates/daemon/tests/repeats.rs
+++ b/crates/daemon/tests/repeats.rs
@@ -95,10 +95,11 @@
     sent
 }
 
-/// Number of times in the window that ends with `end`.
-fn count(times: &[Instant], end: Instant) -> f64 {
-    let within = |time: &&Instant| {
-        **time <= end && end.checked_duration_since(**time).unwrap_or_default() < WINDOW
+/// Number of times in the window that ends `before` a time.
+fn count(times: &[Instant], time: Instant, before: Duration) -> f64 {
+    let within = |other: &&Instant| {
+        let age = time.checked_duration_since(**other + before);
+        age.is_some_and(|age| age < WINDOW)
     };
     let count = u32::try_from(times.iter().filter(within).count());
     f64::from(count.expect("a few hundred"))
@@ -140,10 +141,10 @@
     let sent: Vec<Instant> = sent.collect();
     let seen = SEEN.lock().expect("unpoisoned");
     for &end in &seen.repeats {
-        let ends = [end, end - WINDOW / 2, end - WINDOW];
-        let requests = ends.map(|end| count(&sent, end));
+        let windows = [Duration::ZERO, WINDOW / 2, WINDOW];
+        let requests = windows.map(|before| count(&sent, end, before));
         let allowed = SHARE * requests.into_iter().fold(0.0, f64::max) + EXTRA;
-        let repeats = count(&seen.repeats, end);
+        let repeats = count(&seen.repeats, end, Duration::ZERO);
         assert!(repeats <= allowed, "{repeats} repeats, {allowed} allowed");
     }
     assert!(seen.repeats.len() > 20, "some are sent once more");
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -74,6 +74,8 @@
 const MAX_COPY_AGE: usize = 8;
 /// Longest time until the operator and the engines write again what the store has lost.
 const MAX_REWRITE_MS: u64 = 1_500;
+/// Time for which some upstreams and the store send bytes without end.
+const ENDLESS_PERIOD: Duration = Duration::from_millis(800);
 /// Number of upstreams that end when they run [`CRASHING`].
 const FRAGILE_COUNT: usize = 10;
 /// Time for which an upstream that has ended stays away.
@@ -353,6 +355,17 @@
         }
     }
 
+    /// Has the first upstream of each service and the store, as the first host sees it, send
+    /// bytes without end for a while.
+    fn send_endlessly(&self) {
+        availability::record_fault();
+        let links = self.links.iter().step_by(2).chain([&self.slots[0].link]);
+        links.clone().for_each(|link| link.set(Mode::Endless));
+        thread::sleep(ENDLESS_PERIOD);
+        links.for_each(|link| link.set(Mode::Pass));
+        availability::record_fault();
+    }
+
     /// Checks that the crashing request, which was sent all the time, is no longer dispatched,
     /// and that another request of the same caller is served.
     fn check_crashing(&self) {
@@ -530,6 +543,7 @@
     for (_, fault) in std::mem::take(&mut faults) {
         site.repair(&fault);
     }
+    site.send_endlessly();
     site.recover();
     site.check_crashing();
     site.stop.store(true, Ordering::Relaxed);
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -28,6 +28,8 @@
     Silent,
     /// Requests are forwarded, answers are held back.
     OneWay,
+    /// An answer is followed by bytes without end, and the next ones begin with them.
+    Endless,
 }
 
 /// Faults to choose from at random. `Reset` is listed twice, since a reset at an unfortunate
@@ -94,6 +96,8 @@
         if mode_is(Mode::Slow) {
             thread::sleep(SLOW_DELAY);
         }
+        let endless = [b'x'; 4_096];
+        while answers && mode_is(Mode::Endless) && to.write_all(&endless).is_ok() {}
         if mode_is(Mode::Reset) || to.write_all(&buffer[..length]).is_err() {
             break;
         }
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -1,16 +1,17 @@
 //! The HTTP server for callers.
 
 use crate::{
+    bounds::{self, BodyError},
     endpoint,
     exchange::{self, Part},
     journal::journal,
+    meter::{Meter, Metered},
     peers::PlannerLink,
     shared::{Phase, Shared},
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request, uri::PathAndQuery};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mulberryrack_core::outcome::{Reason, Refusal};
@@ -120,6 +121,12 @@
     gate.config().map_or(INITIAL_LIMITS, |config| config.limits)
 }
 
+/// Bytes that may arrive on a caller's connection until the head of a request is complete, and
+/// then until its body is.
+fn request_allowance(limits: &Limits) -> u64 {
+    bounds::body_allowance(limits.max_head_bytes + limits.max_body_bytes)
+}
+
 async fn serve_connection<D: Dialect>(
     shared: Rc<Shared<D>>,
     link: Rc<PlannerLink>,
@@ -137,9 +144,10 @@
         .caller_connections
         .set(shared.caller_connections.get() + 1);
     let limits = limits(&shared);
+    let (stream, meter) = Metered::new(stream, request_allowance(&limits));
     let service = service_fn(|request| {
-        let (shared, link) = (shared.clone(), link.clone());
-        async move { Ok::<_, Infallible>(serve_request(shared, link, request).await) }
+        let (shared, link, meter) = (shared.clone(), link.clone(), meter.clone());
+        async move { Ok::<_, Infallible>(serve_request(shared, link, &meter, request).await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -171,12 +179,15 @@
 async fn serve_request<D: Dialect>(
     shared: Rc<Shared<D>>,
     link: Rc<PlannerLink>,
+    meter: &Meter,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     shared.last_request.set(shared.clock.now());
     let (head, body) = request.into_parts();
     let limits = limits(&shared);
+    meter.allow(request_allowance(&limits));
     let read = read_body(&limits, body).await;
+    meter.allow(request_allowance(&limits));
     let mut response = match (shared.dialect.read_request_head(&head), read) {
         (Ok(request_head), Ok(body)) => {
             admit_and_serve(&shared, link, head, request_head, body).await
@@ -204,11 +215,11 @@
 }
 
 async fn read_body(limits: &Limits, body: Incoming) -> Result<Bytes, StatusCode> {
-    let whole = Limited::new(body, limits.max_body_bytes).collect();
+    let whole = bounds::read_body(body, limits.max_body_bytes);
     match time::timeout(limits.idle_timeout, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::Excessive)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(BodyError::Broken)) => Err(StatusCode::BAD_REQUEST),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,10 +1,14 @@
 //! The HTTP client for upstreams and the key-value service, with a pool of idle
 //! connections.
 
-use crate::socket;
+use crate::{
+    bounds::{self, BodyError},
+    meter::{Meter, Metered},
+    socket,
+};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -28,9 +32,6 @@
 /// Subtracted from the time that the remote side names, since a request needs time to
 /// reach it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Largest body that [`Connection::round_trip`] reads: answers of the key-value service, and
-/// of engines to orders and report requests.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// How a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +42,8 @@
     Broken,
     /// The answer did not arrive in time.
     Silent,
+    /// The remote side sent more than is read of an answer.
+    Excessive,
 }
 
 /// What a new connection shows about the remote side.
@@ -66,6 +69,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    meter: Meter,
     expires_at: Instant,
 }
 
@@ -81,6 +85,7 @@
     remote: Remote,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    meter: Meter,
 }
 
 impl Drop for Connection {
@@ -100,6 +105,7 @@
             let kept = IdleConnection {
                 sender,
                 task: self.task.clone(),
+                meter: self.meter.clone(),
                 expires_at: Instant::now() + idle,
             };
             let mut all = self.client.idle.borrow_mut();
@@ -109,6 +115,20 @@
         }
     }
 
+    /// Allows `bytes` to be read for the body of the answer.
+    pub fn allow(&self, bytes: u64) {
+        self.meter.allow(bytes);
+    }
+
+    /// How a call failed whose connection ended: the remote side may have sent too much.
+    pub fn fault(&self) -> Fault {
+        if self.meter.is_exceeded() {
+            Fault::Excessive
+        } else {
+            Fault::Broken
+        }
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -119,6 +139,7 @@
         &mut self,
         request: Request<Bytes>,
     ) -> Result<(response::Parts, Incoming), Fault> {
+        self.meter.allow(bounds::HEAD_ALLOWANCE);
         let sender = self.sender.as_mut().ok_or(Fault::NotSent)?;
         sender.ready().await.map_err(|_| Fault::NotSent)?;
         match sender.try_send_request(request.map(Full::new)).await {
@@ -126,12 +147,13 @@
             // hyper returns the request if no byte of it was written.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Fault::NotSent),
-                None => Err(Fault::Broken),
+                None if error.error().is_parse_too_large() => Err(Fault::Excessive),
+                None => Err(self.fault()),
             },
         }
     }
 
-    /// Sends a request and reads the whole answer, up to [`MAX_ANSWER_BYTES`]. The
+    /// Sends a request and reads the whole answer, with a body of up to `max_bytes`. The
     /// connection then returns to the pool.
     ///
     /// # Errors
@@ -141,18 +163,35 @@
     pub async fn round_trip(
         mut self,
         mut request: Request<Bytes>,
+        max_bytes: usize,
     ) -> Result<Response<Bytes>, Fault> {
         let host = self.remote.address.to_string();
         let value = HeaderValue::from_str(&host).expect("an address is plain text");
         request.headers_mut().insert(header::HOST, value);
         let (head, body) = self.send(request).await?;
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|_| Fault::Broken)?.to_bytes();
+        let body = self.read_body(body, max_bytes).await?;
         self.return_to_pool(None);
         Ok(Response::from_parts(head, body))
     }
 }
 
+impl Connection {
+    /// Reads the body of an answer, of up to `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Excessive`] if the remote side sends more, [`Fault::Broken`] if the connection
+    /// ends before.
+    pub async fn read_body(&self, body: Incoming, max_bytes: usize) -> Result<Bytes, Fault> {
+        self.meter.allow(bounds::body_allowance(max_bytes));
+        let body = bounds::read_body(body, max_bytes).await;
+        body.map_err(|error| match error {
+            BodyError::Excessive => Fault::Excessive,
+            BodyError::Broken => self.fault(),
+        })
+    }
+}
+
 impl Client {
     /// Closes idle connections that have expired or that the remote side has closed.
     pub fn close_expired(&self) {
@@ -193,6 +232,7 @@
                 remote,
                 sender: Some(idle.sender),
                 task: idle.task,
+                meter: idle.meter,
             });
         }
         match self.probe(remote).await {
@@ -217,7 +257,10 @@
     /// Makes an HTTP connection of an accepted socket.
     async fn open(self: &Rc<Self>, remote: Remote, stream: TcpStream) -> Result<Connection, Fault> {
         socket::set_options(&stream).map_err(|_| Fault::NotSent)?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let (stream, meter) = Metered::new(stream, bounds::HEAD_ALLOWANCE);
+        let handshake = http1::Builder::new()
+            .max_buf_size(bounds::MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|_| Fault::NotSent)?;
         // The call that uses the connection gets its errors, so they are dropped here.
         let task = task::spawn_local(async move { connection.await.unwrap_or_default() });
@@ -226,6 +269,7 @@
             remote,
             sender: Some(sender),
             task: task.abort_handle(),
+            meter,
         })
     }
 
@@ -246,8 +290,8 @@
         None
     }
 
-    /// Takes or opens a connection, sends a request and reads the whole answer, all within
-    /// `timeout`.
+    /// Takes or opens a connection, sends a request and reads the whole answer, with a body of
+    /// up to `max_bytes`, all within `timeout`.
     ///
     /// # Errors
     ///
@@ -257,11 +301,12 @@
         self: &Rc<Self>,
         remote: Remote,
         request: Request<Bytes>,
+        max_bytes: usize,
         timeout: Duration,
     ) -> Result<Response<Bytes>, Fault> {
         let whole = async {
             let connection = self.connect(remote, false).await?;
-            connection.round_trip(request).await
+            connection.round_trip(request, max_bytes).await
         };
         time::timeout(timeout, whole)
             .await
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -1,7 +1,8 @@
 //! Crashes of upstreams: finds out whether an upstream has ended on which a dispatch broke.
 
 use crate::{
-    client::{Connection, Probe, Remote},
+    bounds,
+    client::{Connection, Fault, Probe, Remote},
     journal::journal,
     replies::{self, Asked},
     shared::Shared,
@@ -87,9 +88,14 @@
         return Finding::Unanswered;
     };
     let request = shared.dialect.health_call(&path);
-    let answer = time::timeout(IDENTITY_TIMEOUT, connection.round_trip(request)).await;
-    let Ok(Ok(answer)) = answer else {
-        return Finding::Unanswered;
+    let answer = connection.round_trip(request, bounds::MAX_ACKNOWLEDGEMENT_BYTES);
+    let answer = match time::timeout(IDENTITY_TIMEOUT, answer).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(Fault::Excessive)) => {
+            replies::record_excess(shared, target.id, "health");
+            return Finding::Unanswered;
+        }
+        Ok(Err(_)) | Err(_) => return Finding::Unanswered,
     };
     let (head, _) = answer.into_parts();
     let reply = shared.dialect.read_reply_head(&head);
--- a/crates/edge/src/endpoint.rs
+++ b/crates/edge/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! Servers for readiness checks, address queries and metrics.
 
-use crate::{directory, journal::journal, shared::Shared, socket};
+use crate::{bounds, directory, journal::journal, meter::Metered, shared::Shared, socket};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -45,13 +45,16 @@
         let stream = accept(&listener).await;
         let shared = shared.clone();
         task::spawn_local(async move {
+            let (stream, meter) = Metered::new(stream, bounds::ENDPOINT_ALLOWANCE);
             let service = service_fn(|request| {
+                meter.allow(bounds::ENDPOINT_ALLOWANCE);
                 let response = respond(&shared, request);
                 async move { Ok::<_, Infallible>(response) }
             });
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(bounds::MAX_HEAD_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
                 journal!(debug, "question-broken", error = error);
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,6 +2,7 @@
 //! the gate decides, and relays the answer to the caller. Start reading at [`run`].
 
 use crate::{
+    bounds::{self, StreamBounds},
     client::{Connection, Fault, Remote},
     crashes,
     events::Splitter,
@@ -24,11 +25,6 @@
 use std::{rc::Rc, time::Duration};
 use tokio::{sync::mpsc, task, time};
 
-/// Largest answer that is buffered whole before it is relayed, so that the request can be
-/// retried if the answer breaks off. Streams are not buffered.
-const MAX_WHOLE_ANSWER_BYTES: usize = 1 << 20;
-/// Largest event of a stream; a stream with a larger one counts as broken.
-const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Longest wait before a request that waits for a placement is decided on again.
 const PLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Longest wait before the limit for a silent upstream is computed again.
@@ -424,7 +420,7 @@
         let (connection, response, body) = match answered {
             Ok(answered) => answered,
             Err(Fault::NotSent) => return DispatchEnd::Retryable(Ending::NotSent, Retry::Refused),
-            Err(fault) => return Self::answer_lost(fault),
+            Err(fault) => return self.answer_lost(target, fault),
         };
         let reply = self.shared.dialect.read_reply_head(&response);
         self.record_activity(target);
@@ -439,7 +435,7 @@
             .as_ref()
             .is_some_and(|id| *id != state.head.attempt_id)
         {
-            return Self::answer_lost(Fault::Broken);
+            return self.answer_lost(target, Fault::Broken);
         }
         let answer = UpstreamAnswer {
             dispatched_at: now,
@@ -449,10 +445,10 @@
             reply,
         };
         if answer.reply.not_run {
-            return Self::not_run(answer).await;
+            return self.not_run(target, answer).await;
         }
         if !answer.reply.signed || answer.reply.attempt_id.is_none() {
-            return Self::answer_lost(Fault::Broken);
+            return self.answer_lost(target, Fault::Broken);
         }
         self.record_answer(target, answer.dispatched_at);
         if state.route.streaming && answer.head.status.is_success() {
@@ -463,7 +459,7 @@
 
     /// Reads the rest of an answer that says that the request has not run, so that the
     /// connection can be reused.
-    async fn not_run(answer: UpstreamAnswer) -> DispatchEnd {
+    async fn not_run(&self, target: &Target, answer: UpstreamAnswer) -> DispatchEnd {
         let UpstreamAnswer {
             connection,
             head,
@@ -471,9 +467,12 @@
             reply,
             ..
         } = answer;
-        let read = time::timeout(MIN_SILENCE_TIMEOUT, body.collect()).await;
-        if matches!(read, Ok(Ok(_))) && !reply.close {
-            connection.return_to_pool(reply.keep_alive);
+        let body = connection.read_body(body, bounds::MAX_REJECTION_BYTES);
+        let read = time::timeout(MIN_SILENCE_TIMEOUT, body).await;
+        match read {
+            Ok(Ok(_)) if !reply.close => connection.return_to_pool(reply.keep_alive),
+            Ok(Err(Fault::Excessive)) => replies::record_excess(&self.shared, target.id, "request"),
+            _ => {}
         }
         let misplaced = head.status == StatusCode::MISDIRECTED_REQUEST;
         let ending = if misplaced {
@@ -485,8 +484,12 @@
     }
 
     /// The result of a dispatch whose answer is lost. The request may have run.
-    const fn answer_lost(fault: Fault) -> DispatchEnd {
+    fn answer_lost(&self, target: &Target, fault: Fault) -> DispatchEnd {
         match fault {
+            Fault::Excessive => {
+                replies::record_excess(&self.shared, target.id, "request");
+                DispatchEnd::Retryable(Ending::Excessive, Retry::Broken)
+            }
             Fault::Silent => DispatchEnd::Retryable(Ending::Silent, Retry::Silent),
             Fault::Broken | Fault::NotSent => DispatchEnd::Retryable(Ending::Broken, Retry::Broken),
         }
@@ -503,44 +506,48 @@
             dispatched_at,
             connection,
             mut head,
-            mut body,
+            body,
             reply,
         } = answer;
         let until = self.shared.clock.instant(state.deadline);
-        let mut bytes = Vec::new();
-        loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = self.caller.closed() => return DispatchEnd::Finished(Ending::Abandoned),
-                () = time::sleep_until(until) => return Self::answer_lost(Fault::Silent),
-            };
-            match frame {
-                None => break,
-                Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |it| it)),
-                Some(Err(_)) => return Self::answer_lost(Fault::Broken),
-            }
-            if bytes.len() > MAX_WHOLE_ANSWER_BYTES {
-                return Self::answer_lost(Fault::Broken);
-            }
-        }
+        let bytes = tokio::select! {
+            bytes = connection.read_body(body, bounds::MAX_WHOLE_ANSWER_BYTES) => bytes,
+            () = self.caller.closed() => return DispatchEnd::Finished(Ending::Abandoned),
+            () = time::sleep_until(until) => Err(Fault::Silent),
+        };
+        let bytes = match bytes {
+            Ok(bytes) => bytes,
+            Err(fault) => return self.answer_lost(target, fault),
+        };
         if !reply.close {
             connection.return_to_pool(reply.keep_alive);
         }
         head.headers = self.shared.dialect.caller_headers(&head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let failed = head.status.is_server_error();
-        let answer = Response::from_parts(head, bytes.into());
+        let answer = Response::from_parts(head, bytes);
         if failed && state.may_rerun(self.progress.head_sent) {
             return DispatchEnd::ErrorAnswer(answer);
         }
         if self.progress.head_sent {
-            return Self::answer_lost(Fault::Broken);
+            return self.answer_lost(target, Fault::Broken);
         }
         self.record_first_event(state, target, dispatched_at);
         self.send_part(Part::Whole(answer)).await;
         DispatchEnd::Finished(Ending::Done)
     }
 
+    /// Records that a whole event of a stream has arrived, and returns the time.
+    fn record_event(&mut self, target: &Target) -> Time {
+        self.record_activity(target);
+        let now = self.shared.clock.now();
+        self.progress.event_gap = self
+            .progress
+            .event_gap
+            .map(|(last, longest)| (now, longest.max(now.since(last))));
+        now
+    }
+
     fn record_activity(&self, target: &Target) {
         let now = self.shared.clock.now();
         self.shared
@@ -587,27 +594,30 @@
             mut body,
             reply,
         } = answer;
+        let tokens = state.head.generation.as_ref().map(|it| it.output_tokens);
+        let mut stream_bounds = StreamBounds::new(tokens);
+        connection.allow(stream_bounds.allowance());
         let mut splitter = Splitter::default();
         let mut head = Some(head);
+        // Only whole events are signs of progress, other bytes may come without end.
+        let mut since = self.shared.clock.now();
         loop {
-            let since = self.shared.clock.now();
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.caller.closed() => return DispatchEnd::Finished(Ending::Abandoned),
                 () = self.wait_for_silence(state, target, since) =>
-                    return Self::answer_lost(Fault::Silent),
+                    return self.answer_lost(target, Fault::Silent),
             };
-            self.record_activity(target);
             match frame {
                 Some(Ok(frame)) => splitter.push(frame.data_ref().map_or(&[], |it| it)),
-                Some(Err(_)) => return Self::answer_lost(Fault::Broken),
+                Some(Err(_)) => return self.answer_lost(target, connection.fault()),
                 None => break,
             }
-            self.progress.event_gap = self.progress.event_gap.map(|(last, longest)| {
-                let now = self.shared.clock.now();
-                (now, longest.max(now.since(last)))
-            });
             while let Some(event) = splitter.next_event() {
+                since = self.record_event(target);
+                if !stream_bounds.take(event.bytes.len()) {
+                    return self.answer_lost(target, Fault::Excessive);
+                }
                 if let Some(head) = head.take() {
                     self.record_first_event(state, target, dispatched_at);
                     self.send_head(head).await;
@@ -615,8 +625,8 @@
                 self.progress.last_event_id = event.id.or(self.progress.last_event_id.take());
                 self.send_part(Part::Data(event.bytes)).await;
             }
-            if splitter.len() > MAX_EVENT_BYTES {
-                return Self::answer_lost(Fault::Broken);
+            if splitter.pending_bytes() > bounds::MAX_EVENT_BYTES {
+                return self.answer_lost(target, Fault::Excessive);
             }
         }
         if let Some(head) = head.take() {
--- a/crates/edge/src/lease_extension.rs
+++ b/crates/edge/src/lease_extension.rs
@@ -9,7 +9,7 @@
 };
 use mulberryrack_fleet::{PeerEras, PeerView};
 use mulberryrack_site::Dialect;
-use mulberryrack_wire::plan::{Contact, Question, planner_client::PlannerClient};
+use mulberryrack_wire::plan::{Contact, Question};
 use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::TcpStream,
@@ -139,7 +139,7 @@
 
 async fn ask(channel: Channel, address: SocketAddr) -> PeerAnswer {
     let deadline = Instant::now() + ANSWER_TIMEOUT;
-    let mut client = PlannerClient::new(channel);
+    let mut client = peers::client_on(channel);
     let answer = time::timeout_at(deadline, client.vouch(Question {})).await;
     if let Ok(Ok(contact)) = answer {
         return PeerAnswer::Contact(contact.into_inner());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - Requests: `caller` accepts callers' connections, `exchange` takes one request from its
 //!   admission to its final answer, `client` holds the connections to upstreams.
+//! - Bytes without end: `bounds` has what is read of any peer at most, `meter` counts it.
 //! - Key-value service: `store` makes the calls, `watch` follows the configuration and the
 //!   registrations, `membership` writes this host's own keys.
 //! - Engines: `orders` sends the planner's orders while this host holds the claim to give
@@ -19,6 +20,7 @@
 //! - Short requests on ports of their own: `endpoint` serves readiness, addresses and
 //!   metrics.
 
+pub mod bounds;
 mod caller;
 mod client;
 mod clock;
@@ -26,12 +28,13 @@
 mod directory;
 mod endpoint;
 mod eras;
-mod events;
+pub mod events;
 mod exchange;
 mod host;
 mod journal;
 mod lease_extension;
 mod membership;
+mod meter;
 mod metrics;
 mod notices;
 mod orders;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -42,6 +42,11 @@
     finding: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReaderLabels {
+    reader: &'static str,
+}
+
 /// Registers a metric under a name and returns it.
 pub fn registered<M: Metric + Clone>(
     registry: &mut Registry,
@@ -62,6 +67,7 @@
     orders: Family<CallLabels, Counter>,
     upstream_crashes: Family<CrashLabels, Counter>,
     upstream_probes: Family<ProbeLabels, Counter>,
+    excessive_answers: Family<ReaderLabels, Counter>,
     first_event_seconds: Histogram,
     request_seconds: Histogram,
     /// Number of admitted requests without a final answer.
@@ -112,6 +118,12 @@
                 "Crashes of upstreams with requests of this host in flight, by how they were noticed",
                 Family::default(),
             ),
+            excessive_answers: registered(
+                &mut registry,
+                "excessive_answers",
+                "Answers of upstreams with more bytes than are read, by what was asked",
+                Family::default(),
+            ),
             upstream_probes: registered(
                 &mut registry,
                 "upstream_probes",
@@ -208,6 +220,13 @@
             .inc();
     }
 
+    /// Counts an answer with more bytes than are read, by what was asked.
+    pub fn record_excess(&self, reader: &'static str) {
+        self.excessive_answers
+            .get_or_create(&ReaderLabels { reader })
+            .inc();
+    }
+
     /// Counts an order and its outcome.
     pub fn record_order(&self, operation: &'static str, answered: &'static str) {
         self.orders
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -2,6 +2,7 @@
 //! the claim to give orders.
 
 use crate::{
+    bounds,
     client::{Fault, Remote},
     journal::journal,
     notices,
@@ -88,13 +89,17 @@
     let request = shared.dialect.report_call(&remote.name);
     let name = remote.name.clone();
     let asked = asked(shared, &name);
-    let answer = shared.client.call(remote, request, CALL_TIMEOUT).await;
+    let answer = shared
+        .client
+        .call(remote, request, bounds::MAX_REPORT_BYTES, CALL_TIMEOUT)
+        .await;
     let report = match answer {
         Ok(answer) => {
             let answer = record_availability(shared, asked, answer);
             shared.dialect.report_answer(&answer)
         }
         Err(fault) => {
+            record_excess(shared, asked, fault, "report");
             journal!(
                 debug,
                 "report-missing",
@@ -148,6 +153,13 @@
     Response::from_parts(head, body)
 }
 
+/// Records a call of this host to an engine that failed because the engine sent too much.
+fn record_excess<D>(shared: &Shared<D>, asked: Option<Asked>, fault: Fault, reader: &'static str) {
+    if let (Some(asked), Fault::Excessive) = (asked, fault) {
+        replies::record_excess(shared, asked.id, reader);
+    }
+}
+
 /// Sends an order and records its outcome. Announces an unload to the other hosts before it
 /// is sent, and takes the announcement back if the engine certainly does not carry it out.
 /// Announces an adapter as soon as the engine accepts the order to load it.
@@ -244,14 +256,18 @@
         fence: fence.token(shared.first_era.get().unwrap_or_default()),
     };
     let request = shared.dialect.order_call(&order);
-    let answer = time::timeout(CALL_TIMEOUT, connection.round_trip(request));
+    let answer = connection.round_trip(request, bounds::MAX_ACKNOWLEDGEMENT_BYTES);
+    let answer = time::timeout(CALL_TIMEOUT, answer);
     match answer.await.unwrap_or(Err(Fault::Silent)) {
         Ok(answer) => {
             let answer = record_availability(shared, asked, answer);
             shared.dialect.order_answer(&answer)
         }
         Err(Fault::NotSent) => OrderOutcome::NotSent,
-        Err(Fault::Broken | Fault::Silent) => OrderOutcome::Unanswered,
+        Err(fault) => {
+            record_excess(shared, asked, fault, "order");
+            OrderOutcome::Unanswered
+        }
     }
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,7 +1,7 @@
 //! Calls between hosts: reports of demand, placement of models and adapters that requests
 //! wait for, renewal of another host's lease, and contact with the key-value service.
 
-use crate::{journal::journal, lease_extension, orders, shared::Shared};
+use crate::{bounds, journal::journal, lease_extension, orders, shared::Shared};
 use mulberryrack_core::{
     Name,
     kv::{Era, Lease, Op, Reply},
@@ -37,6 +37,8 @@
 const PLACE_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Length of the queue of calls that wait for the host's thread.
 const CALL_QUEUE_LENGTH: usize = 64;
+/// Longest time for a call of another host to arrive and be answered.
+const SERVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of HTTP/2 keepalive pings on connections between hosts.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -115,9 +117,13 @@
 /// Serves the calls of other hosts until the process ends.
 pub async fn serve<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener) {
     let (calls, mut taken) = mpsc::channel(CALL_QUEUE_LENGTH);
+    let handler = PlannerServer::new(PlannerHandler { calls })
+        .max_decoding_message_size(bounds::MAX_PEER_MESSAGE_BYTES);
     let served = Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
-        .add_service(PlannerServer::new(PlannerHandler { calls }))
+        .max_concurrent_streams(bounds::MAX_PEER_CALLS)
+        .timeout(SERVE_TIMEOUT)
+        .add_service(handler)
         .serve_with_incoming(TcpListenerStream::new(listener));
     task::spawn_local(async move {
         if let Err(error) = served.await {
@@ -189,6 +195,11 @@
         .connect_lazy()
 }
 
+/// The client of another host's calls on a channel.
+pub fn client_on(channel: Channel) -> PlannerClient<Channel> {
+    PlannerClient::new(channel).max_decoding_message_size(bounds::MAX_PEER_MESSAGE_BYTES)
+}
+
 /// Reports the gate's demand to the host that gives orders, until the process ends.
 pub async fn report_demand<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<PlannerLink>) {
     loop {
@@ -208,7 +219,7 @@
             host: shared.settings.host.to_string(),
             wanted: wanted.iter().map(message).collect(),
         };
-        if let Err(error) = PlannerClient::new(channel).report(message).await {
+        if let Err(error) = client_on(channel).report(message).await {
             journal!(
                 warn,
                 "demand-not-told",
@@ -256,7 +267,7 @@
     let peer = others.get(rotation % others.len().max(1))?;
     let channel = channel_to(peer.peers, RENEW_TIMEOUT);
     let message = plan::Lease { id: lease.0 };
-    match PlannerClient::new(channel).renew(message).await {
+    match client_on(channel).renew(message).await {
         Ok(renewed) => {
             let renewed = renewed.into_inner();
             let rises = shared.store.rises();
@@ -338,7 +349,7 @@
         model: model.to_string(),
         adapter: adapter.map(ToString::to_string).unwrap_or_default(),
     };
-    match PlannerClient::new(channel).place(message).await {
+    match client_on(channel).place(message).await {
         Ok(placed) => {
             let plan::Placed { engines, planner } = placed.into_inner();
             let engines = engines.iter().map(|it| it.as_str().into());
--- a/crates/edge/src/replies.rs
+++ b/crates/edge/src/replies.rs
@@ -68,6 +68,16 @@
     is_news
 }
 
+/// Records that an upstream has sent more than is read of an answer; `reader` says of what.
+/// Other upstreams are preferred for a while.
+pub fn record_excess<D>(shared: &Shared<D>, id: UpstreamId, reader: &'static str) {
+    let now = shared.clock.now();
+    let name = shared.gate.borrow().name(id);
+    shared.gate.borrow_mut().record_excess(now, id);
+    shared.metrics.record_excess(reader);
+    journal!(warn, "answer-excessive", upstream = name, reader = reader);
+}
+
 fn record_rest<D: 'static>(shared: &Rc<Shared<D>>, asked: Asked, period: Duration) {
     let now = shared.clock.now();
     let begins = {
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -1,6 +1,7 @@
 //! Calls to the key-value service, and the era of its answers.
 
 use crate::{
+    bounds,
     client::{Client, Fault, Remote},
     clock::Clock,
     metrics::Metrics,
@@ -121,12 +122,21 @@
         let request = self.dialect.store_call(op);
         let answer = self
             .client
-            .call(self.remote.clone(), request, CALL_TIMEOUT + wait)
+            .call(
+                self.remote.clone(),
+                request,
+                bounds::MAX_STORE_ANSWER_BYTES,
+                CALL_TIMEOUT + wait,
+            )
             .await;
         let outcome = match answer {
             Ok(answer) => self.read(op, &answer, rises),
             Err(Fault::NotSent) => Err(kv::Fault::NotApplied),
-            Err(Fault::Broken | Fault::Silent) => Err(kv::Fault::Unknown),
+            // The changes since the position are more than one answer may hold.
+            Err(Fault::Excessive) if matches!(op, kv::Op::Watch { .. }) => {
+                Err(kv::Fault::HistoryGone)
+            }
+            Err(Fault::Broken | Fault::Silent | Fault::Excessive) => Err(kv::Fault::Unknown),
         };
         if outcome.is_ok() {
             self.last_answer.set(Some(Instant::now()));
--- /dev/null
+++ b/crates/edge/tests/bounds.rs
@@ -0,0 +1,142 @@
+//! Event streams that are split, and bodies that are collected, on fixed and generated pieces.
+
+use bolero::{
+    TypeGenerator,
+    generator::bolero_generator::driver::{ByteSliceDriver, Options},
+};
+use mulberryrack_edge::{
+    bounds::{BodyError, Collector, MAX_EVENT_BYTES, StreamBounds},
+    events::{Event, Splitter},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SEEDS: u64 = 4_000;
+/// Number of random bytes from which a value is generated.
+const INPUT_BYTES: usize = 256;
+
+/// Bytes of which event streams consist.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Token {
+    Return,
+    Newline,
+    BlankLine,
+    Id,
+    Text,
+}
+
+impl Token {
+    const fn bytes(self) -> &'static [u8] {
+        match self {
+            Self::Return => b"\r",
+            Self::Newline => b"\n",
+            Self::BlankLine => b"\r\n\r\n",
+            Self::Id => b"id: 7\n",
+            Self::Text => b"data",
+        }
+    }
+}
+
+fn generate<T: TypeGenerator>(seed: u64) -> T {
+    let mut input = [0; INPUT_BYTES];
+    ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut input);
+    let options = Options::default();
+    let mut driver = ByteSliceDriver::new(&input, &options);
+    T::generate(&mut driver).expect("enough input")
+}
+
+/// The events of a whole stream, and what is left.
+fn split(pieces: &[Vec<u8>]) -> (Vec<Event>, Vec<u8>) {
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        events.extend(std::iter::from_fn(|| splitter.next_event()));
+    }
+    (events, splitter.take_remainder().to_vec())
+}
+
+/// Position after the first blank line that ends an event.
+fn end_of_event(bytes: &[u8]) -> Option<usize> {
+    let position = |blank: &[u8]| {
+        let at = bytes.windows(blank.len()).position(|it| it == blank);
+        at.map(|at| at + blank.len())
+    };
+    [position(b"\n\n"), position(b"\r\n\r\n")]
+        .into_iter()
+        .flatten()
+        .min()
+}
+
+#[test]
+fn events_do_not_depend_on_the_pieces_in_which_they_arrive() {
+    for seed in 0..SEEDS {
+        let tokens: [(Token, bool); 24] = generate(seed);
+        let mut pieces = vec![Vec::new()];
+        for (token, begins_piece) in tokens {
+            for byte in token.bytes() {
+                if begins_piece {
+                    pieces.push(Vec::new());
+                }
+                pieces.last_mut().expect("one at least").push(*byte);
+            }
+        }
+        let (events, rest) = split(&pieces);
+        let mut whole = pieces.concat();
+        for event in events {
+            let end = end_of_event(&whole).expect("an event");
+            assert_eq!(event.bytes, whole[..end], "seed {seed}");
+            whole.drain(..end);
+        }
+        assert_eq!(end_of_event(&whole), None, "seed {seed}");
+        assert_eq!(rest, whole, "seed {seed}");
+    }
+}
+
+/// A search from the start for each byte would take hours.
+#[test]
+fn an_event_that_arrives_byte_by_byte_is_searched_once() {
+    let mut splitter = Splitter::default();
+    for _ in 0..40 * MAX_EVENT_BYTES {
+        splitter.push(b"x");
+        assert_eq!(splitter.next_event(), None);
+    }
+    splitter.push(b"\n\n");
+    let event = splitter.next_event().expect("an event");
+    assert_eq!(event.bytes.len(), 40 * MAX_EVENT_BYTES + 2);
+}
+
+#[test]
+fn bodies_are_bounded_in_bytes_and_pieces() {
+    for seed in 0..SEEDS {
+        let (max_bytes, sizes): (u16, [u8; 64]) = generate(seed);
+        let mut collector = Collector::new(usize::from(max_bytes));
+        let mut total = 0;
+        for size in sizes.map(usize::from) {
+            total += size;
+            let pushed = collector.push(&vec![b'x'; size]);
+            if total > usize::from(max_bytes) {
+                assert_eq!(pushed, Err(BodyError::Excessive), "seed {seed}");
+                break;
+            }
+            assert_eq!(pushed, Ok(()), "seed {seed}");
+        }
+    }
+    let mut collector = Collector::new(1 << 20);
+    let pushed = (0..1 << 20).find(|_| collector.push(b"x").is_err());
+    assert!(pushed.is_some_and(|pieces| pieces < 4_096), "{pushed:?}");
+    let mut collector = Collector::new(1 << 20);
+    let whole = (0..1 << 13).all(|_| collector.push(&[b'x'; 128]).is_ok());
+    assert!(whole, "short pieces are no excess");
+    assert_eq!(collector.finish().len(), 1 << 20);
+}
+
+#[test]
+fn streams_are_bounded_by_their_tokens() {
+    let mut bounds = StreamBounds::new(Some(100));
+    assert!((0..100).all(|_| bounds.take(400)));
+    let more = (0..10_000).position(|_| !bounds.take(3));
+    assert!(more.is_some_and(|events| events < 200), "{more:?}");
+    let mut bounds = StreamBounds::new(Some(10));
+    assert!(!bounds.take(1 << 20));
+}
--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -347,7 +347,12 @@
         match ending {
             Ending::Broken | Ending::Silent => self.record_broken(now, id, request),
             Ending::Done => self.clear_suspect(now, request.fingerprint),
-            Ending::Failed | Ending::NotRun | Ending::Misplaced | Ending::NotSent => {}
+            // An upstream that sends too much is running.
+            Ending::Failed
+            | Ending::Excessive
+            | Ending::NotRun
+            | Ending::Misplaced
+            | Ending::NotSent => {}
             // The caller may have left because the upstream had ended in silence.
             Ending::Abandoned => {
                 if self.upstreams.get(id).last_activity <= request.dispatched_at {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -695,6 +695,12 @@
         request.deadline.min(until.max(since + max_silence))
     }
 
+    /// Records that an upstream has sent more bytes than are read of an answer, to whatever it was
+    /// asked: other upstreams are preferred for a while.
+    pub fn record_excess(&mut self, now: Time, id: UpstreamId) {
+        self.upstreams.get_mut(id).start_cooldown(now);
+    }
+
     /// Records the load that an upstream reported with an answer.
     pub fn record_load(&mut self, now: Time, id: UpstreamId, load_report: LoadReport) {
         let upstream = self.upstreams.get_mut(id);
@@ -767,7 +773,7 @@
                 None => request.excluded.push(id),
             },
             Ending::NotRun => request.excluded.push(id),
-            Ending::Failed | Ending::Broken | Ending::Silent => {
+            Ending::Failed | Ending::Broken | Ending::Silent | Ending::Excessive => {
                 request.may_have_run = true;
                 request.excluded.push(id);
             }
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -179,6 +179,8 @@
     Broken,
     /// The upstream was silent for too long.
     Silent,
+    /// The upstream sent more bytes than are read of an answer.
+    Excessive,
     /// The caller went away.
     Abandoned,
 }
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -168,7 +168,8 @@
                     self.start_cooldown(now);
                 }
             }
-            Ending::NotRun | Ending::Misplaced | Ending::Abandoned => {}
+            // The cooldown began when the bytes were counted.
+            Ending::NotRun | Ending::Misplaced | Ending::Excessive | Ending::Abandoned => {}
         }
     }
 
