--- a/crates/daemon/tests/site.rs
+++ b/crates/daemon/tests/site.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of `mulberryrackd site`. Each test runs the binary as a process, with
 //! stand-ins for the upstreams and for the platform's key-value service (the store).
 
+#[allow(dead_code)]
 #[path = "site/host.rs"]
 mod host;
 #[allow(dead_code)]
--- a/crates/daemon/tests/site/host.rs
+++ b/crates/daemon/tests/site/host.rs
@@ -102,6 +102,13 @@
         host
     }
 
+    /// Logged lines that contain `text`.
+    pub fn lines(&self, text: &str) -> Vec<String> {
+        let log = self.log.lock().expect("unpoisoned");
+        let lines = log.iter().filter(|line| line.contains(text));
+        lines.cloned().collect()
+    }
+
     /// Number of logged lines that contain `text`.
     pub fn logged(&self, text: &str) -> usize {
         let log = self.log.lock().expect("unpoisoned");
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -386,7 +386,10 @@
         let last = self.slots.last().expect("a host was added just now");
         let answer = send_fragile(last.host.callers, number, "harmless");
         if host::status(&answer) != 200 {
-            self.report(format!("a harmless request was not served: {answer}"));
+            let log = last.host.lines(&format!("id={number:016x} ")).join("\n");
+            self.report(format!(
+                "a harmless request was not served: {answer}\n{log}"
+            ));
         }
     }
 
