Gate: a caller that will be late comes back when a copy may be loaded

Cause: a request without a copy of its model was refused with a second to come back, and one beyond the target with 0.3 to 2 s, whatever the model's load takes. On Sabarmati a load takes 1.2 s after an order, and the target is 0.3 s: the caller, which comes back once, was late anyway and came before the copy was there, and was refused again.

Change: if a caller cannot be on time after the usual delay, it is told to come back when the planner has had the time to load one more copy (load time and 0.5 s), within a third of its remaining time.

Result: test of the gate alone red before (1 s) and green.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -60,6 +60,11 @@
 const MIN_OVERLOAD_RETRY_MS: f64 = 300.0;
 const MAX_OVERLOAD_RETRY_MS: f64 = 2_000.0;
 
+/// Time from the first requests for a model to the planner's order to load a copy.
+const PLAN_DELAY: Duration = Duration::from_millis(500);
+/// A caller comes back within this part of its remaining time, so that it can be served then.
+const MIN_ATTEMPTS_LEFT: u32 = 3;
+
 /// Cap on the number of hosts that are assumed to hold back as many requests as this one.
 /// With more hosts, one request held here says little about the others.
 const MAX_SIMILAR_HOSTS: u32 = 8;
@@ -587,6 +592,7 @@
             let retry_after_ms =
                 (queue_ms / 2.0).clamp(MIN_OVERLOAD_RETRY_MS, MAX_OVERLOAD_RETRY_MS);
             let wait = Duration::from_secs_f64(retry_after_ms / 1_000.0);
+            let wait = self.return_delay(now, request, wait);
             return Some(refuse_or_fail(request, Reason::Overload, Some(wait)));
         }
         if may_read_now {
@@ -600,6 +606,25 @@
         ))
     }
 
+    /// The delay after which a caller is told to try again that would come back too late for the
+    /// latency target after `wait`: then it may as well come back when the planner has had the
+    /// time to load one more copy of the model.
+    fn return_delay(&self, now: Time, request: &RequestState, wait: Duration) -> Duration {
+        let load_time = || {
+            let model = &request.head.generation.as_ref()?.model;
+            let service = self.config.as_ref()?.service(&request.service)?;
+            Some(service.engine.as_ref()?.model(model)?.load_time)
+        };
+        let is_late = now.since(request.arrived_at) + wait >= request.route.latency_target;
+        match load_time() {
+            Some(load_time) if is_late => {
+                let max_wait = request.remaining(now) / MIN_ATTEMPTS_LEFT;
+                wait.max((load_time + PLAN_DELAY).min(max_wait))
+            }
+            _ => wait,
+        }
+    }
+
     /// Removes a request from the requests that are held back, if it is. Called when the request
     /// is decided on again and when its caller has gone away.
     pub fn end_hold(&mut self, request: &mut RequestState) {
@@ -659,7 +684,8 @@
         } else {
             Reason::NoUpstream
         };
-        refuse_or_fail(request, reason, Some(UNAVAILABLE_RETRY_DELAY))
+        let wait = self.return_delay(now, request, UNAVAILABLE_RETRY_DELAY);
+        refuse_or_fail(request, reason, Some(wait))
     }
 
     /// Records that this host received something from an upstream, for whichever request.
--- a/crates/gate/tests/steps.rs
+++ b/crates/gate/tests/steps.rs
@@ -9,7 +9,7 @@
 };
 use mulberryrack_gate::{Decision, Ending, Gate, ModelChange, RequestState, Tuning};
 use mulberryrack_site::upstream::State;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 const NOW: Time = Time::from_millis(1_000);
 
@@ -209,3 +209,41 @@
     // The limit is a fifth of the 400 requests plus an eighth of 50.
     assert!((40..=86).contains(&retries), "{retries}");
 }
+
+/// A gate without a copy of m0, whose models load in `load_time`, and a host that gives no orders.
+fn gate_without_copies(load_time: Duration, latency_target: Duration) -> Gate {
+    let mut config = config(1);
+    for route in &mut config.routes {
+        let route = Arc::make_mut(route);
+        (route.latency_target, route.timeout) = (latency_target, ms(12_000));
+    }
+    for service in &mut config.services {
+        for model in service.engine.iter_mut().flat_map(|it| &mut it.models) {
+            model.load_time = load_time;
+        }
+    }
+    let mut gate = Gate::new(Tuning::default(), 7);
+    gate.configure(Arc::new(config));
+    gate.register(Time::ZERO, upstream("e0", "llm", &["m1"]));
+    gate
+}
+
+#[test]
+fn a_caller_that_will_be_late_comes_back_when_a_copy_may_be_loaded() {
+    let retry_after = |load_time, latency_target, timeout| {
+        let mut gate = gate_without_copies(load_time, latency_target);
+        let mut head = request_head("/stream/x", Some(generation("m0", 1, 100)));
+        head.timeout = Some(timeout);
+        let (_, decision) = start(&mut gate, NOW, head);
+        let refusal = refusal(decision);
+        assert_eq!(refusal.reason, Reason::NoCopy);
+        refusal.retry_after.expect("a time to come back")
+    };
+    // An attempt before the load is complete would be refused again.
+    let wait = retry_after(ms(1_200), ms(300), ms(12_000));
+    assert!(wait > ms(1_200) && wait < ms(2_400), "{wait:?}");
+    // It can still be on time if it comes back soon.
+    assert!(retry_after(ms(1_200), ms(4_000), ms(12_000)) <= ms(1_000));
+    // Time is left for the attempt.
+    assert!(retry_after(ms(9_000), ms(300), ms(6_000)) <= ms(2_000));
+}
