Edge: a request's timeout runs while its body and a connection are awaited

Cause: the timeout that an upstream is given counted from the end of the caller's body, and was computed before the connection to the upstream was open, which may take half a second. Upstreams got more time than was left.

Change: the timeout counts from the head's arrival, and what is left of it is computed when the request is sent.

--- a/crates/daemon/tests/upstream_availability.rs
+++ b/crates/daemon/tests/upstream_availability.rs
@@ -108,3 +108,19 @@
     assert_eq!(one.seen().len(), 0);
     assert_eq!(host.logged("event=upstream-leaves id=d0 told_by=answer"), 1);
 }
+
+#[test]
+fn the_time_in_which_a_body_arrives_is_taken_off_the_timeout() {
+    let only = Upstream::start(answer);
+    let host = start(&[("d0", &only)]);
+    let mut caller = TcpStream::connect(host.callers).expect("a listener");
+    let head = "POST /book/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id1\r\n\
+                Deadline-Ms: 2500\r\nContent-Length: 1\r\n\r\n";
+    caller.write_all(head.as_bytes()).expect("a connection");
+    thread::sleep(Duration::from_millis(900));
+    caller.write_all(b"x").expect("a connection");
+    let seen = only.requests.recv_timeout(Duration::from_secs(15));
+    let seen = seen.expect("a request");
+    let left: u32 = seen.header("deadline-ms").parse().expect("a number");
+    assert!(left <= 1_600, "{left}");
+}
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -14,7 +14,10 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mulberryrack_core::outcome::{Reason, Refusal};
+use mulberryrack_core::{
+    Time,
+    outcome::{Reason, Refusal},
+};
 use mulberryrack_site::{Dialect, RequestHead, config::Limits, request::RequestError};
 use std::{
     convert::Infallible,
@@ -182,7 +185,8 @@
     meter: &Meter,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    shared.last_request.set(shared.clock.now());
+    let arrived_at = shared.clock.now();
+    shared.last_request.set(arrived_at);
     let (head, body) = request.into_parts();
     let limits = limits(&shared);
     meter.allow(request_allowance(&limits));
@@ -190,7 +194,7 @@
     meter.allow(request_allowance(&limits));
     let mut response = match (shared.dialect.read_request_head(&head), read) {
         (Ok(request_head), Ok(body)) => {
-            admit_and_serve(&shared, link, head, request_head, body).await
+            admit_and_serve(&shared, link, arrived_at, head, request_head, body).await
         }
         (request_head, Err(status)) => {
             let attempt = request_head
@@ -256,20 +260,22 @@
     response
 }
 
+/// Serves a request whose head had arrived at `arrived_at`: the caller's timeout runs while the
+/// body arrives.
 async fn admit_and_serve<D: Dialect>(
     shared: &Rc<Shared<D>>,
     link: Rc<PlannerLink>,
+    arrived_at: Time,
     head: request::Parts,
     request_head: RequestHead,
     body: Bytes,
 ) -> Response<AnswerBody> {
-    let now = shared.clock.now();
     let attempt = request_head.attempt_id.clone();
     let fingerprint = fingerprint(&head, &request_head, &body);
     let admitted = shared
         .gate
         .borrow_mut()
-        .admit(now, request_head, fingerprint);
+        .admit(arrived_at, request_head, fingerprint);
     let state = match admitted {
         Ok(state) => state,
         Err(refusal) => return refuse(shared, &attempt, refusal),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -401,7 +401,6 @@
 
     async fn dispatch(&mut self, state: &mut RequestState, target: &Target) -> DispatchEnd {
         let now = self.shared.clock.now();
-        let request = self.upstream_request(state, target, now);
         let remote = Remote {
             address: target.address,
             name: target.name.clone(),
@@ -409,6 +408,9 @@
         let client = self.shared.client.clone();
         let answered = async {
             let mut connection = client.connect(remote, target.retry.is_some()).await?;
+            // What is left of the timeout counts from when the request is sent.
+            let sent_at = self.shared.clock.now();
+            let request = self.upstream_request(state, target, sent_at);
             let (head, body) = connection.send(request).await?;
             Ok((connection, head, body))
         };
