Test: endless bodies of the key-value service, and large messages of hosts

Change: the stand-in sends a head with a body without end, for 2 s more than the requests take; a message of 1 MiB is refused.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -21,6 +21,7 @@
 mod wire;
 
 use host::{Host, exchange, status};
+use mulberryrack_wire::plan::{self, planner_client::PlannerClient};
 use peer::{Kind, Peer, Place};
 use proxy::{Link, Mode};
 use serde_json::Value;
@@ -36,6 +37,8 @@
     time::Duration,
 };
 use store::Store;
+use tokio::runtime::Builder;
+use tonic::Code;
 use upstream::{Request, Upstream, answer, events, head};
 use wire::{MODEL, config, entry};
 
@@ -48,6 +51,8 @@
 const MAX_MEMORY_KB: u64 = 64 * 1_024;
 /// Maximum bytes that the buffers of two sockets and the host together take of one answer.
 const MAX_BYTES_PER_ANSWER: u64 = 8 << 20;
+/// Further time for which the key-value service sends without end.
+const STORE_PERIOD: Duration = Duration::from_secs(2);
 /// Time for which an endless caller may go on until the host has closed.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -209,6 +214,7 @@
     link.set(Mode::Endless);
     let (sent, served) = send_all(&host, "/look/", "", is_ok);
     assert_eq!(served, sent, "what the host knows is enough");
+    thread::sleep(STORE_PERIOD);
     check_memory(&host);
     link.set(Mode::Pass);
     host.store.write("op/config", &config(2, "desk"));
@@ -335,3 +341,28 @@
     }
     check_memory(&host);
 }
+
+#[test]
+fn a_message_of_another_host_that_is_too_large_is_refused() {
+    let (store, _sound) = start_store("desk", answer);
+    let host = Host::start_with(store);
+    let to = format!("http://{}", peer_address(&host));
+    let report = |name_bytes: usize| {
+        let to = to.clone();
+        let message = plan::Demand {
+            host: "x".repeat(name_bytes),
+            wanted: Vec::new(),
+        };
+        Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime")
+            .block_on(async move {
+                let mut client = PlannerClient::connect(to).await.expect("a listener");
+                client.report(message).await.map(drop)
+            })
+    };
+    assert!(report(1_000).is_ok());
+    let refused = report(1 << 20).expect_err("too large");
+    assert_eq!(refused.code(), Code::OutOfRange);
+}
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -16,6 +16,9 @@
 /// Delay added to each read while the mode is `Slow`.
 const SLOW_DELAY: Duration = Duration::from_millis(60);
 
+/// Head of an answer whose body ends with the connection.
+const ENDLESS_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
+
 /// How a link treats its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -28,7 +31,7 @@
     Silent,
     /// Requests are forwarded, answers are held back.
     OneWay,
-    /// An answer is followed by bytes without end, and the next ones begin with them.
+    /// Instead of an answer comes a head with a body without end.
     Endless,
 }
 
@@ -97,8 +100,11 @@
             thread::sleep(SLOW_DELAY);
         }
         let endless = [b'x'; 4_096];
-        while answers && mode_is(Mode::Endless) && to.write_all(&endless).is_ok() {}
-        if mode_is(Mode::Reset) || to.write_all(&buffer[..length]).is_err() {
+        let is_endless = answers && mode_is(Mode::Endless);
+        if is_endless && to.write_all(ENDLESS_HEAD).is_ok() {
+            while mode_is(Mode::Endless) && to.write_all(&endless).is_ok() {}
+        }
+        if is_endless || mode_is(Mode::Reset) || to.write_all(&buffer[..length]).is_err() {
             break;
         }
     }
