Gate: an upstream that fails a part of its requests is chosen less

Silence on a request that may not be sent again was no sign about its upstream until the deadline, a caller that left none at all, and failures between complete answers began no cooldown. Three engines that lost a part of their answers kept their full share for 12 s.

Change: silence is recorded as soon as it is unusual, unless the upstream's slots are taken. The share of requests that an upstream has failed lately is a cost when one is chosen, forgotten within seconds; one in twenty counts as none.

--- a/crates/daemon/tests/upstream_availability.rs
+++ b/crates/daemon/tests/upstream_availability.rs
@@ -15,7 +15,12 @@
 mod wire;
 
 use host::{Host, exchange, status};
-use std::{io::Write, net::TcpStream, thread, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::Duration,
+};
 use store::Store;
 use upstream::{Request, Upstream, answer, head};
 use wire::{config, entry};
@@ -124,3 +129,36 @@
     let left: u32 = seen.header("deadline-ms").parse().expect("a number");
     assert!(left <= 1_600, "{left}");
 }
+
+#[test]
+fn upstream_that_is_silent_until_callers_leave_gets_few_requests() {
+    let silent = |_: &Request, stream: &mut TcpStream| {
+        // Ends when the host closes the connection.
+        let _ = stream.read(&mut [0]);
+    };
+    let (one, two) = (Upstream::start(silent), Upstream::start(answer));
+    let host = start(&[("d0", &one), ("d1", &two)]);
+    let leaving = |_| {
+        let address = host.callers;
+        thread::spawn(move || {
+            let mut caller = TcpStream::connect(address).expect("a listener");
+            let text = "POST /book/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id1\r\n\
+                        Deadline-Ms: 9000\r\nContent-Length: 1\r\n\r\nx";
+            caller.write_all(text.as_bytes()).expect("a connection");
+            // Longer than the route's latency target.
+            thread::sleep(Duration::from_millis(1_300));
+        })
+    };
+    let callers: Vec<_> = (0..8).map(leaving).collect();
+    for caller in callers {
+        caller.join().expect("no panic");
+    }
+    assert!(!one.seen().is_empty(), "it is tried");
+    let served = thread::scope(|scope| {
+        let serve = || status(&send(&host, 1_500, "x")) == 200;
+        let callers: Vec<_> = (0..20).map(|_| scope.spawn(serve)).collect();
+        let served = callers.into_iter().map(|it| it.join().expect("no panic"));
+        served.filter(|is_served| *is_served).count()
+    });
+    assert!(served >= 18, "{served} of 20");
+}
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -127,10 +127,14 @@
     ) -> Candidate {
         let jitter = self.rng.random_range(0.0..self.tuning.jitter_ms);
         let upstream = self.upstreams.get(id);
+        // A request that fails is at least as late as its target allows.
+        let target_ms = request.route.latency_target.as_secs_f64() * 1_000.0;
+        let failure_cost = upstream.failure_share.at(now) * target_ms;
         let Some(generation) = &request.head.generation else {
             return Candidate {
                 id,
                 cost: upstream.estimated_requests(self.host_count) * self.tuning.per_request_ms
+                    + failure_cost
                     + jitter,
                 backlog_ms: 0.0,
                 reading_ms: 0.0,
@@ -156,6 +160,7 @@
             + excess_ms * self.tuning.long_backlog_factor
             + upstream.estimated_requests(self.host_count) * self.tuning.per_request_ms
             + preference_cost
+            + failure_cost
             + jitter;
         Candidate {
             id,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -721,6 +721,19 @@
         request.deadline.min(until.max(since + max_silence))
     }
 
+    /// Records that an upstream has been silent on a request for longer than usual. The request
+    /// goes on waiting if it may not be sent elsewhere. An upstream whose slots are taken is slow
+    /// for that reason.
+    pub fn record_silence(&mut self, now: Time, id: UpstreamId) {
+        let upstream = self.upstreams.get_mut(id);
+        let is_full = upstream
+            .load_report
+            .is_some_and(|(load, ..)| load.waiting > 0 || load.running >= load.slots);
+        if !is_full {
+            upstream.failure_share.record(now, true);
+        }
+    }
+
     /// Records that an upstream has sent more bytes than are read of an answer, to whatever it was
     /// asked: other upstreams are preferred for a while.
     pub fn record_excess(&mut self, now: Time, id: UpstreamId) {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -25,6 +25,7 @@
 mod choice;
 mod completions;
 mod crash;
+mod failures;
 mod gate;
 mod read_time;
 mod request;
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -1,7 +1,8 @@
 //! What a host knows about each upstream.
 
 use crate::{
-    cache::PrefixCache, crash::CrashState, gate::ModelChange, request::Ending, rest::Rest,
+    cache::PrefixCache, crash::CrashState, failures::FailureShare, gate::ModelChange,
+    request::Ending, rest::Rest,
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_site::upstream::{LoadReport, State, Upstream};
@@ -53,6 +54,8 @@
     pub last_activity: Time,
     /// Broken and failed dispatches since the last complete answer.
     failures: u32,
+    /// Share of this host's requests that the upstream has failed lately.
+    pub failure_share: FailureShare,
     /// Time until which other upstreams are preferred.
     pub cooldown_until: Time,
     /// Length of the next cooldown.
@@ -80,6 +83,7 @@
             load_report: None,
             last_activity: Time::ZERO,
             failures: 0,
+            failure_share: FailureShare::default(),
             cooldown_until: Time::ZERO,
             next_cooldown: MIN_COOLDOWN_PERIOD,
             model_changes: Vec::new(),
@@ -158,11 +162,14 @@
     pub fn record_ending(&mut self, now: Time, ending: Ending) {
         match ending {
             Ending::Done => {
+                self.failure_share.record(now, false);
                 self.failures = 0;
                 self.next_cooldown = MIN_COOLDOWN_PERIOD;
             }
+            // The silence was recorded when it became too long.
             Ending::NotSent | Ending::Silent => self.start_cooldown(now),
             Ending::Broken | Ending::Failed => {
+                self.failure_share.record(now, true);
                 self.failures += 1;
                 if self.failures >= FAILURES_TO_COOLDOWN {
                     self.start_cooldown(now);
