--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -366,3 +366,24 @@
     let refused = report(1 << 20).expect_err("too large");
     assert_eq!(refused.code(), Code::OutOfRange);
 }
+
+#[test]
+fn a_trickle_of_bytes_is_no_progress_of_a_stream() {
+    let (store, _sound) = start_store("llm", stream);
+    for index in 1..SOUND_COUNT {
+        store.remove(&format!("servers/s{index}"));
+    }
+    let kinds = [(Kind::TrickledEvent, Place::Requests)];
+    let peers = start_peers(&store, "llm", &kinds);
+    let host = Host::start_with(store);
+    let send = || send(host.callers, "/draft/", MODEL);
+    let answers: Vec<String> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..6).map(|_| scope.spawn(send)).collect();
+        let answers = callers.into_iter().map(|it| it.join().expect("no panic"));
+        answers.collect()
+    });
+    assert!(peers[0].begun() > 0, "it is tried");
+    for answer in answers {
+        assert!(answer.contains("id: 5\ndata: token5\n\n"), "{answer}");
+    }
+}
