--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -62,8 +62,8 @@
 
 /// Time from the first requests for a model to the planner's order to load a copy.
 const PLAN_DELAY: Duration = Duration::from_millis(500);
-/// A caller comes back within this part of its remaining time, so that it can be served then.
-const MIN_ATTEMPTS_LEFT: u32 = 3;
+/// A caller comes back within its remaining time divided by this, so that it can be served then.
+const RETURN_DIVISOR: u32 = 3;
 
 /// Cap on the number of hosts that are assumed to hold back as many requests as this one.
 /// With more hosts, one request held here says little about the others.
@@ -618,7 +618,7 @@
         let is_late = now.since(request.arrived_at) + wait >= request.route.latency_target;
         match load_time() {
             Some(load_time) if is_late => {
-                let max_wait = request.remaining(now) / MIN_ATTEMPTS_LEFT;
+                let max_wait = request.remaining(now) / RETURN_DIVISOR;
                 wait.max((load_time + PLAN_DELAY).min(max_wait))
             }
             _ => wait,
