Edge: the line of a dispatch names the shared parts of the prompt

The log could not tell requests with a common part of their prompts from attempts at one request whose body changes: no line named the parts.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -296,6 +296,7 @@
                 .map_or(0, |first| first.as_millis()),
             longest_pause_ms = self.progress.event_gap.map_or(0, |it| it.1.as_millis()),
             model = state.head.generation.as_ref().map_or("-", |it| &it.model),
+            parts = state.shared_parts(),
             retry = target.retry.map_or("-", Retry::label),
             framing = self.progress.body_read.map_or("-", |it| it.framing.label()),
             connection = self
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -8,6 +8,7 @@
 use mulberryrack_site::{
     RequestHead,
     config::{RetryPolicy, Route},
+    request::Generation,
     upstream::LoadReport,
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -91,6 +92,18 @@
         }
     }
 
+    /// Ids of the prompt's parts that other prompts may share, for the log; `-` if there are none.
+    #[must_use]
+    pub fn shared_parts(&self) -> String {
+        let generation = self.head.generation.as_ref();
+        let parts = generation.map_or(&[][..], Generation::shared_parts);
+        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        if ids.is_empty() {
+            return "-".to_owned();
+        }
+        ids.join(",")
+    }
+
     /// Incarnation of the upstream to which the request was last dispatched.
     #[must_use]
     pub const fn incarnation(&self) -> u64 {
--- a/crates/site/src/request.rs
+++ b/crates/site/src/request.rs
@@ -29,6 +29,17 @@
     pub prompt_parts: Vec<PromptPart>,
 }
 
+impl Generation {
+    /// The parts of the prompt that other prompts may share: all but the last.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let [shared @ .., _own] = &self.prompt_parts[..] else {
+            return &[];
+        };
+        shared
+    }
+}
+
 /// The fields of a caller's request head that decide where the request goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestHead {
