Known red: requests with one crashing part of a prompt end engine after engine

Callers saw 502 for request after request, and engines were lost faster than they came back. The crash of a part counts against the fingerprint of the whole request only.

The model also plays lost datagrams and hosts that are replaced, and checks that sound requests with the other parts are served.

--- a/crates/daemon/tests/crash/engine.rs
+++ b/crates/daemon/tests/crash/engine.rs
@@ -19,6 +19,9 @@
 
 /// Body of the request that ends each upstream that runs it.
 pub const CRASHING: &str = "crash";
+/// Part of a prompt that ends each upstream that begins to write an answer on it, as it stands in
+/// the `Prompt-Prefix` header.
+pub const CRASHING_PART: &str = ",dead:";
 /// Time for which the entry of an upstream that ended without closing its address stays.
 const LAPSE_DELAY: Duration = Duration::from_secs(3);
 /// Interval at which an upstream checks whether it has to end.
@@ -188,7 +191,7 @@
             return;
         };
         runs.lock().expect("unpoisoned").push(body.clone());
-        if body == CRASHING {
+        if body == CRASHING || request.header("prompt-prefix").contains(CRASHING_PART) {
             incarnation.ended.store(true, Ordering::Relaxed);
         } else if !incarnation.is_silent() {
             run(&request, &mut stream);
--- a/crates/daemon/tests/crashing_request.rs
+++ b/crates/daemon/tests/crashing_request.rs
@@ -41,6 +41,11 @@
 /// users' bound.
 const MAX_LATE_DISPATCHES: usize = 3;
 
+/// Number of crashes of a part of a prompt, after which the users count its dispatches.
+const CRASHES_BY_PART: usize = 5;
+/// Beginning of the bodies of requests with the crashing part.
+const BODY_WITH_PART: &str = "with the part ";
+
 static ATTEMPTS: AtomicU32 = AtomicU32::new(0);
 
 struct Site {
@@ -137,6 +142,30 @@
         third_crash.map_or(0, |_| self.crashes() - in_time)
     }
 
+    /// Sends requests with the crashing part of a prompt at a steady rate, no two alike, at host
+    /// after host, and returns the number of dispatches later than [`CONTACT`] after the fifth
+    /// crash.
+    fn late_dispatches_with_part(&self, attempts: usize) -> usize {
+        let mut fifth_crash = None;
+        let mut in_time = 0;
+        for host in self.hosts.iter().cycle().take(attempts) {
+            thread::sleep(ATTEMPT_INTERVAL);
+            send_with_part(host, "dead", BODY_WITH_PART);
+            let crashes = self.crashes_by_part();
+            if crashes >= CRASHES_BY_PART {
+                let since = fifth_crash.get_or_insert_with(Instant::now).elapsed();
+                in_time = if since <= CONTACT { crashes } else { in_time };
+            }
+        }
+        fifth_crash.map_or(0, |_| self.crashes_by_part() - in_time)
+    }
+
+    fn crashes_by_part(&self) -> usize {
+        let runs = self.runs.lock().expect("unpoisoned");
+        let has_part = |body: &&String| body.starts_with(BODY_WITH_PART);
+        runs.iter().filter(has_part).count()
+    }
+
     /// Sends a request every 20 ms until `is_over` and returns how many were sent and served.
     fn send_proper(&self, path: &str, is_over: &AtomicBool) -> (usize, usize) {
         let (mut sent, mut served) = (0, 0);
@@ -194,6 +223,20 @@
     exchange(host.callers, &text)
 }
 
+/// Sends a request unlike any other for the model, with a prompt of the shared first part, the
+/// part `part` and one of its own.
+fn send_with_part(host: &Host, part: &str, body: &str) -> String {
+    let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
+    let body = format!("{body}{number}");
+    let text = format!(
+        "POST /draft/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id{number}\r\n\
+         Deadline-Ms: 2500\r\nConnection: close\r\nContent-Length: {}\r\nModel: m\r\n\
+         Token-Counts: 25,5\r\nPrompt-Prefix: 1:10,{part}:10,{number:x}00:5\r\n\r\n{body}",
+        body.len()
+    );
+    exchange(host.callers, &text)
+}
+
 #[test]
 fn request_that_crashed_three_upstreams_is_not_dispatched_again() {
     for path in ["/look/", "/draft/", "/book/"] {
@@ -284,3 +327,28 @@
         site.check_steady_caller(path, restart);
     }
 }
+
+#[test]
+#[ignore = "KNOWN-RED: only whole requests are suspected of crashes"]
+fn part_that_crashed_five_upstreams_is_dispatched_in_no_request() {
+    let mut site = Site::start(3);
+    let late = site.late_dispatches_with_part(36);
+    site.add_host();
+    site.hosts.drain(..2);
+    thread::sleep(CONTACT);
+    let before = site.crashes_by_part();
+    site.late_dispatches_with_part(12);
+    let later = site.crashes_by_part() - before;
+    println!("event=part crashes={before} late={late} later={later}");
+    let mut served = 0;
+    for number in 0..20 {
+        let host = &site.hosts[number % 2];
+        let answer = send_with_part(host, ["1", "2"][number / 2 % 2], "proper ");
+        served += usize::from(status(&answer) == 200);
+    }
+    assert_eq!(served, 20, "sound requests with the first part");
+    assert!(
+        late + later <= MAX_LATE_DISPATCHES,
+        "{late} and {later} late"
+    );
+}
--- a/crates/gate/tests/crash_model.rs
+++ b/crates/gate/tests/crash_model.rs
@@ -1,5 +1,6 @@
 //! Several hosts, engines and callers in virtual time: some requests crash each engine that
-//! runs them and come again at any host, others run beside them.
+//! runs them and come again at any host, others run beside them. On some days a part of prompts
+//! crashes each engine, in requests of which no two are alike.
 
 #[allow(dead_code)]
 mod common;
@@ -37,6 +38,21 @@
     id: 1,
     tokens: 1_000,
 };
+/// Second part of the prompts of all requests of which a part crashes engines.
+const CRASHING_PART: PromptPart = PromptPart {
+    id: 50,
+    tokens: 100,
+};
+/// First fingerprint of those requests; each has one of its own.
+const FIRST_WITH_PART: u128 = 1 << 32;
+/// Number of other second parts, and the id of the first one.
+const SECOND_PARTS: u64 = 20;
+const FIRST_SECOND_PART: u64 = 100;
+/// Crashes of a part, after which the users count the dispatches of requests with it.
+const CRASHES_BY_PART: usize = 5;
+/// Interval at which one host after the other is replaced by one that knows nothing, on days on
+/// which that happens.
+const REPLACEMENT: Duration = Duration::from_secs(4);
 /// Largest number of upstreams of a request on the route.
 const MAX_UPSTREAMS: usize = 2;
 
@@ -72,18 +88,46 @@
     others_dropped: usize,
     /// Other requests that were in flight on as many crashes as their route allows upstreams.
     others_unlucky: usize,
+    /// Crashes of the part, and dispatches of requests with it.
+    part_crashes: Vec<Time>,
+    part_dispatches: Vec<Time>,
+    /// Other requests later than twice [`CONTACT`] after the fifth crash of the part, and those
+    /// of them that were refused or given up.
+    late_others: usize,
+    late_others_lost: usize,
+}
+
+/// What happens on a day.
+#[derive(Clone, Copy, Debug)]
+struct Day {
+    host_count: usize,
+    engine_count: usize,
+    /// Number of requests that crash engines.
+    culprits: u128,
+    /// Requests a second with a part that crashes engines.
+    with_part_per_s: f64,
+    /// Share of the datagrams between hosts that are lost.
+    loss: f64,
+    /// Whether hosts are replaced.
+    replaces_hosts: bool,
 }
 
 struct Model {
+    day: Day,
+    seed: u64,
     now: Time,
     rng: ChaCha8Rng,
     hosts: Vec<Host>,
     engines: Vec<Engine>,
-    culprits: u128,
     next_fingerprint: u128,
+    next_with_part: u128,
     outcome: Outcome,
 }
 
+fn host_name(index: usize) -> Name {
+    format!("h{index}").into()
+}
+
 fn registration(index: usize, incarnation: u32) -> mulberryrack_site::Upstream {
     let mut engine = upstream(&format!("i{index}-{incarnation}"), "llm", &["m0"]);
     let port = 1_000 + u16::try_from(index).expect("a few hundred");
@@ -92,42 +136,57 @@
 }
 
 impl Model {
-    fn new(seed: u64, host_count: usize, engine_count: usize, culprits: u128) -> Self {
-        let names: Vec<Name> = (0..host_count)
-            .map(|index| format!("h{index}").into())
-            .collect();
-        let host = |index: usize| {
-            let tuning = Tuning {
-                // The retry budget is not what is tested here.
-                retry_extra: 1_000.0,
-                ..Tuning::default()
-            };
-            let mut gate = Gate::new(tuning, seed + index as u64);
-            gate.configure(Arc::new(common::config(1)));
-            let host_count = u32::try_from(host_count).expect("a few hundred");
-            gate.set_host_count(Time::ZERO, host_count);
-            gate.set_hosts(&names[index], names.clone());
-            (0..engine_count).for_each(|engine| {
-                gate.register(Time::ZERO, registration(engine, 0));
-            });
-            Host {
-                gate,
-                gossip: Gossip::new(&format!("h{index}"), seed + index as u64),
-            }
-        };
+    fn new(seed: u64, day: Day) -> Self {
         let engine = |_| Engine {
             incarnation: 0,
             up_at: Time::ZERO,
             runs: Vec::new(),
         };
-        Self {
+        let mut model = Self {
+            day,
+            seed,
             now: Time::from_millis(20_000),
             rng: ChaCha8Rng::seed_from_u64(seed),
-            hosts: (0..host_count).map(host).collect(),
-            engines: (0..engine_count).map(engine).collect(),
-            culprits,
+            hosts: Vec::new(),
+            engines: (0..day.engine_count).map(engine).collect(),
             next_fingerprint: FIRST_OTHER,
+            next_with_part: FIRST_WITH_PART,
             outcome: Outcome::default(),
+        };
+        model.hosts = (0..day.host_count).map(|index| model.host(index)).collect();
+        model
+    }
+
+    /// A host that knows the other hosts and the engines, and of no crash.
+    fn host(&self, index: usize) -> Host {
+        let seed = self.seed + index as u64;
+        let tuning = Tuning {
+            // The retry budget is not what is tested here.
+            retry_extra: 1_000.0,
+            ..Tuning::default()
+        };
+        let mut gate = Gate::new(tuning, seed);
+        gate.configure(Arc::new(common::config(1)));
+        let host_count = u32::try_from(self.day.host_count).expect("a few hundred");
+        gate.set_host_count(Time::ZERO, host_count);
+        let names = (0..self.day.host_count).map(host_name).collect();
+        gate.set_hosts(&host_name(index), names);
+        for (index, engine) in self.engines.iter().enumerate() {
+            gate.register(Time::ZERO, registration(index, engine.incarnation));
+        }
+        Host {
+            gate,
+            gossip: Gossip::new(&format!("h{index}"), seed),
+        }
+    }
+
+    /// Replaces a host by one that knows nothing. Its runs go on until they end or their engine
+    /// does; what it has not told the others by then is lost.
+    fn replace_host(&mut self) {
+        let index = self.rng.random_range(0..self.hosts.len());
+        self.hosts[index] = self.host(index);
+        for engine in &mut self.engines {
+            engine.runs.retain(|run| run.host != index);
         }
     }
 
@@ -140,6 +199,9 @@
             self.restart_engines();
             self.end_runs();
             self.arrive();
+            if self.day.replaces_hosts && is_multiple(tick, REPLACEMENT) {
+                self.replace_host();
+            }
             if is_multiple(tick, ROUND) {
                 self.gossip(is_multiple(tick, COMPARISON));
             }
@@ -147,7 +209,8 @@
         self.outcome
     }
 
-    /// Six requests a second at each host, and each crashing one three times a second.
+    /// Six requests a second at each host, each crashing one three times a second, and those with
+    /// the crashing part.
     fn arrive(&mut self) {
         for host in 0..self.hosts.len() {
             if self.rng.random_bool(0.06) {
@@ -155,17 +218,32 @@
                 self.admit(host, self.next_fingerprint);
             }
         }
-        for culprit in 0..self.culprits {
+        for culprit in 0..self.day.culprits {
             if self.rng.random_bool(0.03) {
                 let host = self.rng.random_range(0..self.hosts.len());
                 self.admit(host, culprit);
             }
         }
+        let step_share = (self.day.with_part_per_s * STEP.as_secs_f64()).min(1.0);
+        if step_share > 0.0 && self.rng.random_bool(step_share) {
+            let host = self.rng.random_range(0..self.hosts.len());
+            self.next_with_part += 1;
+            self.admit(host, self.next_with_part);
+        }
     }
 
     fn admit(&mut self, host: usize, fingerprint: u128) {
         let section = u64::try_from(fingerprint).expect("a small number");
         let mut generation = generation("m0", section, 100);
+        let second = if has_crashing_part(fingerprint) {
+            CRASHING_PART
+        } else {
+            PromptPart {
+                id: FIRST_SECOND_PART + section % SECOND_PARTS,
+                tokens: 100,
+            }
+        };
+        generation.prompt_parts.insert(0, second);
         generation.prompt_parts.insert(0, SHARED_PART);
         let head = request_head("/stream/x", Some(generation));
         let admitted = self.hosts[host].gate.admit(self.now, head, fingerprint);
@@ -174,7 +252,10 @@
 
     fn decide(&mut self, host: usize, mut request: RequestState, retry: Option<Retry>) {
         let fingerprint = request.fingerprint;
-        let is_culprit = fingerprint < FIRST_OTHER;
+        let with_part = has_crashing_part(fingerprint);
+        let is_culprit = fingerprint < FIRST_OTHER || with_part;
+        let is_late = self.is_long_after_fifth_crash();
+        self.outcome.late_others += usize::from(!is_culprit && is_late && retry.is_none());
         let gate = &mut self.hosts[host].gate;
         let mut retry = retry;
         loop {
@@ -188,7 +269,10 @@
                         retry = Some(Retry::Refused);
                         continue;
                     }
-                    let run = if is_culprit {
+                    let run = if with_part {
+                        self.outcome.part_dispatches.push(self.now);
+                        TIME_TO_CRASH
+                    } else if is_culprit {
                         let dispatches = &mut self.outcome.culprit_dispatches;
                         dispatches.entry(fingerprint).or_default().push(self.now);
                         TIME_TO_CRASH
@@ -205,6 +289,7 @@
                 }
                 _ if is_culprit => return,
                 Decision::Refuse(refusal) if refusal.reason == Reason::Suspect => {
+                    self.outcome.late_others_lost += usize::from(is_late);
                     self.outcome.others_suspected += 1;
                     return;
                 }
@@ -215,6 +300,7 @@
                 // While no engine is up, nothing can be served.
                 _ if self.engines.iter().all(|engine| engine.up_at > self.now) => return,
                 _ => {
+                    self.outcome.late_others_lost += usize::from(is_late);
                     self.outcome.others_dropped += 1;
                     return;
                 }
@@ -228,7 +314,9 @@
             let is_due = |run: &mut Run| run.ends_at <= now;
             let ended: Vec<Run> = self.engines[index].runs.extract_if(.., is_due).collect();
             let mut fingerprints = ended.iter().map(|run| run.request.fingerprint);
-            if let Some(culprit) = fingerprints.find(|fingerprint| *fingerprint < FIRST_OTHER) {
+            let crashes =
+                |fingerprint: &u128| *fingerprint < FIRST_OTHER || has_crashing_part(*fingerprint);
+            if let Some(culprit) = fingerprints.find(crashes) {
                 let mut broken = ended;
                 broken.append(&mut self.engines[index].runs);
                 self.crash(index, culprit, broken);
@@ -242,8 +330,12 @@
     }
 
     fn crash(&mut self, index: usize, culprit: u128, broken: Vec<Run>) {
-        let crashes = &mut self.outcome.crashes;
-        crashes.entry(culprit).or_default().push(self.now);
+        if has_crashing_part(culprit) {
+            self.outcome.part_crashes.push(self.now);
+        } else {
+            let crashes = &mut self.outcome.crashes;
+            crashes.entry(culprit).or_default().push(self.now);
+        }
         self.engines[index].up_at = self.now + DOWN_PERIOD;
         let mut retried = Vec::new();
         for mut run in broken {
@@ -262,6 +354,11 @@
         }
     }
 
+    fn is_long_after_fifth_crash(&self) -> bool {
+        let fifth = self.outcome.part_crashes.get(CRASHES_BY_PART - 1);
+        fifth.is_some_and(|fifth| self.now > *fifth + CONTACT * 2)
+    }
+
     fn restart_engines(&mut self) {
         for (index, engine) in self.engines.iter_mut().enumerate() {
             if engine.up_at > Time::ZERO && engine.up_at <= self.now {
@@ -299,6 +396,9 @@
     }
 
     fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        if self.day.loss > 0.0 && self.rng.random_bool(self.day.loss) {
+            return;
+        }
         let Host { gate, gossip } = &mut self.hosts[to];
         let (_, answer) = gossip.receive(self.now, gate.suspects_mut(), message);
         for message in answer {
@@ -311,31 +411,51 @@
     tick.as_millis().is_multiple_of(of.as_millis())
 }
 
-/// Plays the model and checks that each culprit is refused and no other request. Returns the
-/// number of crashes that each culprit caused, and of other requests in flight on two crashes.
-fn check(seed: u64, host_count: usize, engine_count: usize, culprits: u128) -> (Vec<usize>, usize) {
-    let outcome = Model::new(seed, host_count, engine_count, culprits).play();
-    let which = format!("{host_count} hosts, {culprits} culprits, seed {seed}");
+fn has_crashing_part(fingerprint: u128) -> bool {
+    fingerprint >= FIRST_WITH_PART
+}
+
+/// Plays the model and checks that each culprit and the part are refused and no other request.
+fn check(seed: u64, day: Day) -> Outcome {
+    let outcome = Model::new(seed, day).play();
+    let which = format!("{day:?}, seed {seed}");
     for (culprit, dispatches) in &outcome.culprit_dispatches {
         let crashes = outcome.crashes.get(culprit);
         let third = crashes.and_then(|crashes| crashes.get(2));
-        let known_at = third.map_or(Time::MAX, |third| *third + CONTACT);
-        let late = dispatches.iter().filter(|time| **time > known_at).count();
+        let late = late_dispatches(dispatches, third);
         assert!(late <= MAX_LATE_DISPATCHES, "{which}: {late} dispatches");
     }
-    assert_eq!(outcome.others_suspected, 0, "{which}");
-    assert_eq!(outcome.others_dropped, 0, "{which}");
-    let crashes = outcome.crashes.values().map(Vec::len);
-    (crashes.collect(), outcome.others_unlucky)
+    let fifth = outcome.part_crashes.get(CRASHES_BY_PART - 1);
+    let late = late_dispatches(&outcome.part_dispatches, fifth);
+    assert!(late <= MAX_LATE_DISPATCHES, "{which}: {late} with the part");
+    let (sent, lost) = (outcome.late_others, outcome.late_others_lost);
+    assert!(lost * 2 <= sent, "{which}: {lost} of {sent} others lost");
+    outcome
+}
+
+/// Number of dispatches later than [`CONTACT`] after a crash; 0 if there was none.
+fn late_dispatches(dispatches: &[Time], crash: Option<&Time>) -> usize {
+    let known_at = crash.map_or(Time::MAX, |crash| *crash + CONTACT);
+    dispatches.iter().filter(|time| **time > known_at).count()
 }
 
 fn play(culprits: u128) {
     let (mut crashes, mut unlucky) = (BTreeMap::new(), 0);
     for (host_count, engine_count, seeds) in [(8, 12, 20), (9, 4, 20), (86, 140, 4)] {
+        let day = Day {
+            host_count,
+            engine_count,
+            culprits,
+            with_part_per_s: 0.0,
+            loss: 0.0,
+            replaces_hosts: false,
+        };
         for seed in 0..seeds {
-            let (by_culprit, beside) = check(seed, host_count, engine_count, culprits);
-            unlucky += beside;
-            for count in by_culprit {
+            let outcome = check(seed, day);
+            assert_eq!(outcome.others_suspected, 0, "{day:?}, seed {seed}");
+            assert_eq!(outcome.others_dropped, 0, "{day:?}, seed {seed}");
+            unlucky += outcome.others_unlucky;
+            for count in outcome.crashes.values().map(Vec::len) {
                 *crashes.entry(count).or_insert(0) += 1;
             }
         }
@@ -352,3 +472,47 @@
 fn several_culprits_at_once_are_refused_and_the_others_are_served() {
     play(3);
 }
+
+/// Plays days with a crashing part, and with as many crashing requests beside it.
+fn play_part(culprits: u128, with_part_per_s: f64, loss: f64, replaces_hosts: bool) {
+    let (mut crashes, mut others, mut others_lost) = (Vec::new(), 0, 0);
+    for (host_count, engine_count, seeds) in [(8, 12, 20), (9, 24, 20), (86, 140, 2), (300, 160, 1)]
+    {
+        let day = Day {
+            host_count,
+            engine_count,
+            culprits,
+            with_part_per_s,
+            loss,
+            replaces_hosts,
+        };
+        for seed in 0..seeds {
+            let outcome = check(seed, day);
+            crashes.push(outcome.part_crashes.len());
+            others += outcome.late_others;
+            others_lost += outcome.late_others_lost;
+        }
+    }
+    println!(
+        "{culprits} culprits, part {with_part_per_s}/s, loss {loss}: crashes {crashes:?}, late others {others}, lost {others_lost}"
+    );
+}
+
+#[test]
+#[ignore = "KNOWN-RED: only whole requests are suspected of crashes"]
+fn a_crashing_part_is_refused_and_the_others_are_served() {
+    play_part(0, 2.0, 0.0, false);
+    play_part(0, 8.0, 0.1, false);
+}
+
+#[test]
+#[ignore = "KNOWN-RED: only whole requests are suspected of crashes"]
+fn a_crashing_part_stays_refused_when_hosts_are_replaced() {
+    play_part(0, 4.0, 0.1, true);
+}
+
+#[test]
+#[ignore = "KNOWN-RED: only whole requests are suspected of crashes"]
+fn a_crashing_part_beside_crashing_requests_is_refused() {
+    play_part(2, 4.0, 0.1, false);
+}
