--- a/crates/daemon/tests/crash/engine.rs
+++ b/crates/daemon/tests/crash/engine.rs
@@ -21,7 +21,7 @@
 pub const CRASHING: &str = "crash";
 /// Part of a prompt that ends each upstream that begins to write an answer on it, as it stands in
 /// the `Prompt-Prefix` header.
-pub const CRASHING_PART: &str = ",dead:";
+pub const CRASHING_PART: &str = ",dead:10,";
 /// Time for which the entry of an upstream that ended without closing its address stays.
 const LAPSE_DELAY: Duration = Duration::from_secs(3);
 /// Interval at which an upstream checks whether it has to end.
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -28,7 +28,7 @@
 
 use availability::Verdict;
 use caller::{Answer, Caller};
-use engine::{CRASHING, Restart, Runs};
+use engine::{CRASHING, CRASHING_PART, Restart, Runs};
 use host::Host;
 use proxy::{FAULTS, Link, Mode};
 use rand::{RngExt, SeedableRng};
@@ -81,8 +81,13 @@
 const MAX_REWRITE_MS: u64 = 1_500;
 /// Time for which some upstreams and the store send bytes without end.
 const ENDLESS_PERIOD: Duration = Duration::from_millis(800);
-/// Number of upstreams that end when they run [`CRASHING`].
+/// Number of upstreams that end when they run [`CRASHING`], and of engines that end when they begin
+/// to write an answer on [`CRASHING_PART`].
 const FRAGILE_COUNT: usize = 10;
+/// Crashes of the part, after which the users count its dispatches.
+const CRASHES_BY_PART: usize = 5;
+/// Beginning of the bodies of requests with the crashing part.
+const BODY_WITH_PART: &str = "with the part";
 /// Time for which an upstream that has ended stays away.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Time after the last fault within which the hosts share what they know; the users'
@@ -90,6 +95,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Largest number of dispatches of the crashing request after that; the users' bound.
 const MAX_LATE_DISPATCHES: usize = 3;
+/// Time after the last fault within which requests are served again.
+const RECOVERY: Duration = Duration::from_secs(15);
 /// Maximum peak memory of a host process in kilobytes, as the design allows it.
 const MAX_MEMORY_KB: u64 = 64 * 1_024;
 
@@ -188,10 +195,17 @@
     fragile["name"] = json!("fragile");
     fragile["prefix"] = json!("/fragile/");
     fragile["service-name"] = json!("fragile");
-    routes.push(fragile);
+    let mut fragile_stream = routes[2].clone();
+    fragile_stream["name"] = json!("fragile-draft");
+    fragile_stream["prefix"] = json!("/fragile/draft/");
+    fragile_stream["service-name"] = json!("fragile-llm");
+    routes.extend([fragile, fragile_stream]);
     let services = config["services"].as_array_mut().expect("a list");
     services.push(json!({ "name": look_service }));
     services.push(json!({ "name": "fragile", "health-path": "/health" }));
+    let mut fragile_engines = services[1].clone();
+    fragile_engines["name"] = json!("fragile-llm");
+    services.push(fragile_engines);
     for service in services {
         service["max-connections"] = json!(50);
     }
@@ -214,6 +228,13 @@
             send_fragile(self.host.callers, number, CRASHING);
         }
     }
+
+    /// Sends a request with the crashing part that is like no other.
+    fn send_with_part(&self) {
+        if !self.is_paused {
+            send_prompt(self.host.callers, CRASHING_PART, BODY_WITH_PART);
+        }
+    }
 }
 
 struct Site {
@@ -263,19 +284,20 @@
             site.upstreams.push(upstream);
         }
         for index in 0..FRAGILE_COUNT {
-            let name = format!("f{index}");
             let restart = match index % 3 {
                 0 => Restart::Refusing(RESTART_DELAY),
                 1 => Restart::Accepting(RESTART_DELAY),
                 _ => Restart::Silent(RESTART_DELAY),
             };
-            engine::start(
-                name,
-                "fragile",
-                restart,
-                site.store.clone(),
-                &site.fragile_runs,
-            );
+            for service in ["fragile", "fragile-llm"] {
+                engine::start(
+                    format!("{service}{index}"),
+                    service,
+                    restart,
+                    site.store.clone(),
+                    &site.fragile_runs,
+                );
+            }
         }
         site.write_next_config();
         (0..HOST_COUNT).for_each(|_| site.add());
@@ -429,6 +451,37 @@
         }
     }
 
+    /// Checks that requests with the crashing part, of which one was sent at each fault, are no
+    /// longer dispatched, and that others with the first part are served.
+    fn check_crashing_part(&self) {
+        let dispatches = || {
+            let runs = self.fragile_runs.lock().expect("unpoisoned");
+            let has_part = |body: &&String| body.starts_with(BODY_WITH_PART);
+            runs.iter().filter(has_part).count()
+        };
+        let in_time = dispatches().max(CRASHES_BY_PART);
+        for _ in 0..4 {
+            self.slots.iter().for_each(HostSlot::send_with_part);
+        }
+        let late = dispatches().saturating_sub(in_time);
+        if late > MAX_LATE_DISPATCHES {
+            self.report(format!("BUDGET {late} dispatches with the crashing part"));
+        }
+        let last = self.slots.last().expect("a host was added just now");
+        let deadline = Instant::now() + RECOVERY;
+        let mut answer = String::new();
+        while host::status(&answer) != 200 {
+            if Instant::now() > deadline {
+                let log = last.host.lines("verdict-changed").join("\n");
+                self.report(format!(
+                    "LOST sound requests with the part: {answer}\n{log}"
+                ));
+                return;
+            }
+            answer = send_prompt(last.host.callers, ",2:10,", "sound");
+        }
+    }
+
     fn report(&self, text: String) {
         self.violations.lock().expect("unpoisoned").push(text);
     }
@@ -440,7 +493,7 @@
         let last = self.slots.last().expect("a host was added just now");
         let mut caller = Caller::new(last.host.callers);
         for path in ["/book/", "/look/", "/draft/"] {
-            let deadline = Instant::now() + Duration::from_secs(15);
+            let deadline = Instant::now() + RECOVERY;
             while send(&mut caller, path).1.status != 200 {
                 assert!(
                     Instant::now() < deadline,
@@ -469,11 +522,31 @@
 /// Sends a request to the fragile upstreams on a connection of its own, and returns the answer
 /// as far as it was received. A host that has ended accepts no connection.
 fn send_fragile(host: SocketAddr, number: u64, body: &str) -> String {
+    send_text(
+        host,
+        &format!(
+            "POST /fragile/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {number:016x}\r\n\
+             Deadline-Ms: 1000\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ),
+    )
+}
+
+/// Sends a request like no other to the fragile engines. `part` is the part of its prompt between
+/// the one that all share and its own.
+fn send_prompt(host: SocketAddr, part: &str, body: &str) -> String {
+    let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
+    let body = format!("{body} {number}");
     let text = format!(
-        "POST /fragile/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {number:016x}\r\n\
-         Deadline-Ms: 1000\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST /fragile/draft/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {number:016x}\r\n\
+         Deadline-Ms: 1500\r\nConnection: close\r\nContent-Length: {}\r\nModel: m\r\n\
+         Token-Counts: 25,5\r\nPrompt-Prefix: 1:10{part}{number:x}00:5\r\n\r\n{body}",
         body.len()
     );
+    send_text(host, &text)
+}
+
+fn send_text(host: SocketAddr, text: &str) -> String {
     let mut answer = Vec::new();
     if let Ok(mut stream) = TcpStream::connect(host)
         && stream.write_all(text.as_bytes()).is_ok()
@@ -572,7 +645,12 @@
     for step in 0..STEPS {
         site.inject(&mut rng, &mut faults);
         // One host at a time, so that no host sees all crashes itself.
-        site.slots[step as usize % site.slots.len()].send_crashing();
+        let slot = &site.slots[step as usize % site.slots.len()];
+        slot.send_crashing();
+        slot.send_with_part();
+        if !slot.is_paused {
+            send_prompt(slot.host.callers, ",2:10,", "sound");
+        }
         thread::sleep(Duration::from_millis(rng.random_range(50..MAX_STEP_MS)));
         let now = Instant::now();
         for (_, fault) in faults.extract_if(.., |(ends_at, _)| *ends_at <= now) {
@@ -585,6 +663,7 @@
     site.send_endlessly();
     site.recover();
     site.check_crashing();
+    site.check_crashing_part();
     site.stop.store(true, Ordering::Relaxed);
     for caller in std::mem::take(&mut site.callers) {
         caller.join().expect("a caller ends");
