--- a/crates/suspect/src/verdict.rs
+++ b/crates/suspect/src/verdict.rs
@@ -74,8 +74,11 @@
         .filter(|(_, crashes)| !crashes.is_empty());
     let (mut parts, requests): (Open<'_>, Open<'_>) =
         counting.partition(|(subject, _)| subject.is_part());
+    // Only these can cover a part; most requests were in flight on one crash.
+    let mut several = requests.clone();
+    several.retain(|_, crashes| crashes.len() >= CRASHES_IF_ALONE);
     loop {
-        let mut verdicts = refused_parts(evidence, parts.clone(), &requests);
+        let mut verdicts = refused_parts(evidence, parts.clone(), &several);
         let mut open = requests.clone();
         for part in verdicts.keys() {
             drop_explained(&mut open, &parts[part]);
