--- a/crates/gate/tests/crash_model.rs
+++ b/crates/gate/tests/crash_model.rs
@@ -1,6 +1,8 @@
 //! Several hosts, engines and callers in virtual time: some requests crash each engine that
 //! runs them and come again at any host, others run beside them. On some days a part of prompts
 //! crashes each engine, in requests of which no two are alike.
+//!
+//! The environment variable `CRASH_SEEDS` sets the number of seeds for each number of hosts.
 
 #[allow(dead_code)]
 mod common;
@@ -15,7 +17,7 @@
 use mulberryrack_suspect::{Answer, Gossip, Message};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, env, sync::Arc, time::Duration};
 
 const STEP: Duration = Duration::from_millis(10);
 /// Interval of the rounds of datagrams and of the comparisons.
@@ -516,6 +518,13 @@
     outcome
 }
 
+fn seed_count(default: u64) -> u64 {
+    let variable = env::var("CRASH_SEEDS").ok();
+    variable
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
 /// Number of dispatches later than [`CONTACT`] after a crash; 0 if there was none.
 fn late_dispatches(dispatches: &[Time], crash: Option<&Time>) -> usize {
     let known_at = crash.map_or(Time::MAX, |crash| *crash + CONTACT);
@@ -534,7 +543,7 @@
             loss: 0.0,
             replaces_hosts: false,
         };
-        for seed in 0..seeds {
+        for seed in 0..seed_count(seeds) {
             let outcome = check(seed, day);
             assert_eq!(outcome.others_suspected, 0, "{day:?}, seed {seed}");
             assert_eq!(outcome.others_dropped, 0, "{day:?}, seed {seed}");
@@ -560,8 +569,8 @@
 /// Plays days with a crashing part, and with as many crashing requests beside it.
 fn play_part(culprits: u128, with_part_per_s: f64, loss: f64, replaces_hosts: bool) {
     let (mut crashes, mut others, mut others_lost) = (Vec::new(), 0, 0);
-    for (host_count, engine_count, seeds) in [(8, 12, 20), (9, 24, 20), (86, 140, 2), (300, 160, 1)]
-    {
+    let sizes = [(8, 12, 20), (9, 24, 20), (86, 140, 2), (300, 160, 1)];
+    for (host_count, engine_count, seeds) in sizes {
         let day = Day {
             host_count,
             engine_count,
@@ -571,7 +580,7 @@
             loss,
             replaces_hosts,
         };
-        for seed in 0..seeds {
+        for seed in 0..seed_count(seeds) {
             let outcome = check(seed, day);
             crashes.push(outcome.part_crashes.len());
             others += outcome.late_others;
