Suspect: crashes under trial count although no more crashes are kept

Trials count unless their crash is cleared or explained, and they are part of what a permit takes for news. A request that is suspected itself leaves the trial of a contested part to others for 3 s, as its crash tells nothing about the part.

--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -19,8 +19,9 @@
 /// have ended by then.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time after its last dispatch for which a request that is suspected itself leaves the trial of
-/// its parts to others.
+/// its parts to others, and if one of them may be refused for it.
 const GIVE_WAY_PERIOD: Duration = Duration::from_secs(1);
+const CONTESTED_GIVE_WAY_PERIOD: Duration = Duration::from_secs(3);
 /// Time between two questions of a host for a permit, and the part of it for each host: the host
 /// that gives the permits gets the same number of them however many hosts there are.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(100);
@@ -135,9 +136,16 @@
     /// Whether a request has to leave the trial of its parts to others for now, as its own crash
     /// would not tell whether the request or the part is the cause.
     fn must_give_way(&self, now: Time, request: &RequestState, subjects: &[Subject]) -> bool {
+        let is_contested =
+            |subject: &Subject| self.suspects.verdict(*subject) == Some(Verdict::Contested);
+        let period = if subjects.iter().any(is_contested) {
+            CONTESTED_GIVE_WAY_PERIOD
+        } else {
+            GIVE_WAY_PERIOD
+        };
         self.is_suspected_itself(request)
             && subjects.iter().any(|subject| subject.is_part())
-            && now.since(request.dispatched_at) < GIVE_WAY_PERIOD
+            && now.since(request.dispatched_at) < period
     }
 
     fn holder(&self, number: u64) -> Holder {
--- a/crates/gate/tests/crash_model.rs
+++ b/crates/gate/tests/crash_model.rs
@@ -569,7 +569,7 @@
 /// Plays days with a crashing part, and with as many crashing requests beside it.
 fn play_part(culprits: u128, with_part_per_s: f64, loss: f64, replaces_hosts: bool) {
     let (mut crashes, mut others, mut others_lost) = (Vec::new(), 0, 0);
-    let sizes = [(8, 12, 20), (9, 24, 20), (86, 140, 2), (300, 160, 1)];
+    let sizes = [(8, 12, 20), (9, 24, 20), (86, 140, 2), (300, 160, 2)];
     for (host_count, engine_count, seeds) in sizes {
         let day = Day {
             host_count,
--- a/crates/suspect/src/evidence.rs
+++ b/crates/suspect/src/evidence.rs
@@ -52,10 +52,13 @@
         self.crashes.difference(&self.cleared)
     }
 
-    /// Number of the crashes that came of trials of the part.
-    pub(crate) fn trials(&self, crashes: &BTreeSet<&Crash>) -> usize {
-        let tried = self.tried.iter();
-        tried.filter(|crash| crashes.contains(crash)).count()
+    /// Number of crashes that came of trials of the part, of those that count and are among
+    /// `open`. Those that are no longer kept with the others count as well.
+    pub(crate) fn trials(&self, open: &BTreeSet<&Crash>) -> usize {
+        let counts = |crash: &&Crash| {
+            open.contains(crash) || !(self.crashes.contains(crash) || self.cleared.contains(crash))
+        };
+        self.tried.iter().filter(counts).count()
     }
 
     /// Crashes that came of a trial of the part.
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -67,11 +67,12 @@
         evidence.into_iter().flat_map(Evidence::counting)
     }
 
-    /// Number of crashes known of a subject, also of those that it was cleared of. It changes
-    /// with each piece of news, until so many are known that no more are kept.
+    /// Number of crashes known of a subject, also of those that it was cleared of or that came of
+    /// its trials. It changes with each piece of news, until so many are known that no more are
+    /// kept.
     pub(crate) fn known_crashes(&self, subject: Subject) -> usize {
         let evidence = self.merged.get(&subject);
-        evidence.map_or(0, |evidence| evidence.all().count())
+        evidence.map_or(0, |it| it.all().count() + it.tried().count())
     }
 
     /// Whether a subject is suspected: a crash counts against it.
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -55,6 +55,17 @@
     }
 }
 
+#[test]
+fn a_part_with_more_crashes_than_are_kept_is_refused_after_its_trials() {
+    let mut suspects = after(12, &[CULPRIT]);
+    assert_eq!(suspects.verdict(CULPRIT), Some(Verdict::Contested));
+    for number in [98, 99] {
+        crash_with(&mut suspects, number, &[CULPRIT]);
+        tried(&mut suspects, &[number], &[CULPRIT]);
+    }
+    assert!(suspects.is_refused(CULPRIT));
+}
+
 #[test]
 fn a_part_is_on_trial_from_the_second_crash_on() {
     let verdicts: Vec<_> = (0..4)
