Suspect: sound requests with several contested parts are tried

Callers of sound requests were refused for as long as the evidence lasted if two of their parts, and a third one that crashes engines, were in flight on the same crashes and none of them had completed before: a request with two contested parts was refused at once, so that no run could clear them. The test with real hosts, which now shares two parts between sound and crashing requests, failed: 20 of 20 sound requests got 503.

The judgement of open parts now passes over requests with one crash as well, which did for refused parts only.

--- a/crates/daemon/tests/crashing_request.rs
+++ b/crates/daemon/tests/crashing_request.rs
@@ -15,7 +15,7 @@
 #[path = "site/wire.rs"]
 mod wire;
 
-use engine::{CRASHING, EVENTS, Restart, Runs};
+use engine::{CRASHING, CRASHING_PART, EVENTS, Restart, Runs};
 use host::{Host, exchange, status};
 use std::{
     sync::atomic::{AtomicBool, AtomicU32, Ordering},
@@ -150,7 +150,7 @@
         let mut in_time = 0;
         for host in self.hosts.iter().cycle().take(attempts) {
             thread::sleep(ATTEMPT_INTERVAL);
-            send_with_part(host, "dead", BODY_WITH_PART);
+            send_with_part(host, CRASHING_PART, BODY_WITH_PART);
             let crashes = self.crashes_by_part();
             if crashes >= CRASHES_BY_PART {
                 let since = fifth_crash.get_or_insert_with(Instant::now).elapsed();
@@ -223,15 +223,15 @@
     exchange(host.callers, &text)
 }
 
-/// Sends a request unlike any other for the model, with a prompt of the shared first part, the
-/// part `part` and one of its own.
-fn send_with_part(host: &Host, part: &str, body: &str) -> String {
+/// Sends a request unlike any other for the model, with a prompt of the first two parts, which all
+/// share, `parts`, each with a comma before it, and one of its own.
+fn send_with_part(host: &Host, parts: &str, body: &str) -> String {
     let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
     let body = format!("{body}{number}");
     let text = format!(
         "POST /draft/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id{number}\r\n\
          Deadline-Ms: 2500\r\nConnection: close\r\nContent-Length: {}\r\nModel: m\r\n\
-         Token-Counts: 25,5\r\nPrompt-Prefix: 1:10,{part}:10,{number:x}00:5\r\n\r\n{body}",
+         Token-Counts: 45,5\r\nPrompt-Prefix: 1:10,2:10{parts}{number:x}00:5\r\n\r\n{body}",
         body.len()
     );
     exchange(host.callers, &text)
@@ -342,10 +342,14 @@
     let sound: Vec<u16> = (0..20)
         .map(|number| {
             let host = &site.hosts[number % 2];
-            status(&send_with_part(host, ["3", "2"][number / 2 % 2], "proper "))
+            status(&send_with_part(
+                host,
+                [",", ",3:10,"][number / 2 % 2],
+                "proper ",
+            ))
         })
         .collect();
-    assert_eq!(sound, [200; 20], "sound requests with the first part");
+    assert_eq!(sound, [200; 20], "sound requests with the first parts");
     assert!(
         late + later <= MAX_LATE_DISPATCHES,
         "{late} and {later} late"
--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -65,10 +65,8 @@
                 retry_after: self.suspects.remaining(refused, now),
             });
         }
-        let is_contested =
-            |subject: &Subject| self.suspects.verdict(*subject) == Some(Verdict::Contested);
-        let has_several = subjects().filter(is_contested).count() > 1;
-        has_several.then_some(Refusal {
+        let is_hopeless = self.suspects.is_hopeless(&request.subjects);
+        is_hopeless.then_some(Refusal {
             reason: Reason::Suspect,
             retry_after: Some(TRIAL_RETRY_DELAY),
         })
--- a/crates/gate/tests/crash_model.rs
+++ b/crates/gate/tests/crash_model.rs
@@ -40,16 +40,18 @@
     id: 1,
     tokens: 1_000,
 };
-/// Second part of the prompts of all requests of which a part crashes engines.
+/// A further part that all prompts share on days on which they have more parts.
+const OTHER_SHARED_PART: PromptPart = PromptPart { id: 2, tokens: 100 };
+/// Third part of the prompts of all requests of which a part crashes engines.
 const CRASHING_PART: PromptPart = PromptPart {
     id: 50,
     tokens: 100,
 };
 /// First fingerprint of those requests; each has one of its own.
 const FIRST_WITH_PART: u128 = 1 << 32;
-/// Number of other second parts, and the id of the first one.
-const SECOND_PARTS: u64 = 20;
-const FIRST_SECOND_PART: u64 = 100;
+/// Number of other third parts, and the id of the first one.
+const THIRD_PARTS: u64 = 20;
+const FIRST_THIRD_PART: u64 = 100;
 /// Crashes of a part, after which the users count the dispatches of requests with it.
 const CRASHES_BY_PART: usize = 5;
 /// Interval at which one host after the other is replaced by one that knows nothing, on days on
@@ -119,8 +121,9 @@
     culprits: u128,
     /// Requests a second with a part that crashes engines.
     with_part_per_s: f64,
-    /// Whether prompts have a part between the one that all share and their own.
-    has_second_parts: bool,
+    /// Whether prompts have two parts more between the one that all share and their own: one that
+    /// all share as well, and one that some share.
+    has_more_parts: bool,
     /// Share of the datagrams between hosts that are lost.
     loss: f64,
     /// Whether hosts are replaced.
@@ -262,16 +265,17 @@
     fn admit(&mut self, host: usize, fingerprint: u128) {
         let section = u64::try_from(fingerprint).expect("a small number");
         let mut generation = generation("m0", section, 100);
-        let second = if has_crashing_part(fingerprint) {
+        let third = if has_crashing_part(fingerprint) {
             CRASHING_PART
         } else {
             PromptPart {
-                id: FIRST_SECOND_PART + section % SECOND_PARTS,
+                id: FIRST_THIRD_PART + section % THIRD_PARTS,
                 tokens: 100,
             }
         };
-        if self.day.has_second_parts {
-            generation.prompt_parts.insert(0, second);
+        if self.day.has_more_parts {
+            generation.prompt_parts.insert(0, third);
+            generation.prompt_parts.insert(0, OTHER_SHARED_PART);
         }
         generation.prompt_parts.insert(0, SHARED_PART);
         let head = request_head("/stream/x", Some(generation));
@@ -539,7 +543,7 @@
             engine_count,
             culprits,
             with_part_per_s: 0.0,
-            has_second_parts: false,
+            has_more_parts: false,
             loss: 0.0,
             replaces_hosts: false,
         };
@@ -576,7 +580,7 @@
             engine_count,
             culprits,
             with_part_per_s,
-            has_second_parts: true,
+            has_more_parts: true,
             loss,
             replaces_hosts,
         };
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -3,7 +3,7 @@
 use crate::{
     evidence::{Crash, Evidence},
     subject::Subject,
-    verdict::{self, Verdict},
+    verdict::{self, Judgement, Verdict},
 };
 use mulberryrack_core::{Time, hash};
 use mulberryrack_wire::route::{Suspicion, Suspicions};
@@ -37,7 +37,7 @@
     /// Evidence of all hosts, this one included.
     merged: BTreeMap<Subject, Evidence>,
     /// Invariant: what `merged` shows.
-    verdicts: BTreeMap<Subject, Verdict>,
+    judgement: Judgement,
     /// Verdicts that have changed since the last call of [`Suspects::take_changes`].
     changes: Vec<Change>,
 }
@@ -50,7 +50,7 @@
             limits,
             own: BTreeMap::new(),
             merged: BTreeMap::new(),
-            verdicts: BTreeMap::new(),
+            judgement: Judgement::new(),
             changes: Vec::new(),
         }
     }
@@ -82,7 +82,7 @@
 
     /// The verdict on a subject; `None` if it may run like any other.
     pub fn verdict(&self, subject: impl Into<Subject>) -> Option<Verdict> {
-        self.verdicts.get(&subject.into()).copied()
+        self.judgement.verdicts.get(&subject.into()).copied()
     }
 
     /// Whether requests with a subject are refused.
@@ -90,6 +90,20 @@
         self.verdict(subject) == Some(Verdict::Refused)
     }
 
+    /// Whether a run of a request with these subjects would tell nothing: one of them is contested
+    /// and was tried, and the others include all parts that may be the cause instead.
+    #[must_use]
+    pub fn is_hopeless(&self, subjects: &[Subject]) -> bool {
+        let is_lost = |subject: &Subject| {
+            let contest = self.judgement.contests.get(subject);
+            contest.is_some_and(|contest| {
+                let mut rivals = contest.rivals.iter();
+                contest.was_tried && rivals.all(|rival| subjects.contains(rival))
+            })
+        };
+        subjects.iter().any(is_lost)
+    }
+
     /// The subjects that are refused.
     pub fn refused(&self) -> impl Iterator<Item = Subject> {
         self.weighty().filter(|subject| self.is_refused(*subject))
@@ -97,7 +111,7 @@
 
     /// The subjects with enough crashes to be refused, whether they are or not.
     pub fn weighty(&self) -> impl Iterator<Item = Subject> {
-        let all = self.verdicts.iter();
+        let all = self.judgement.verdicts.iter();
         let weighty = all.filter(|(_, verdict)| **verdict >= Verdict::Contested);
         weighty.map(|(subject, _)| *subject)
     }
@@ -306,23 +320,20 @@
 
     /// Judges all evidence anew and records which verdicts have changed.
     fn judge(&mut self) {
-        let verdicts = verdict::judge(&self.merged, self.limits.crashes_until_refused);
-        let subjects: BTreeSet<Subject> = verdicts
-            .keys()
-            .chain(self.verdicts.keys())
-            .copied()
-            .collect();
+        let judgement = verdict::judge(&self.merged, self.limits.crashes_until_refused);
+        let former = std::mem::replace(&mut self.judgement, judgement).verdicts;
+        let verdicts = &self.judgement.verdicts;
+        let subjects: BTreeSet<Subject> = verdicts.keys().chain(former.keys()).copied().collect();
         for subject in subjects {
             let change = Change {
                 subject,
-                from: self.verdicts.get(&subject).copied(),
+                from: former.get(&subject).copied(),
                 to: verdicts.get(&subject).copied(),
             };
             if change.is_notable() && self.changes.len() < MAX_CHANGES {
                 self.changes.push(change);
             }
         }
-        self.verdicts = verdicts;
     }
 }
 
--- a/crates/suspect/src/verdict.rs
+++ b/crates/suspect/src/verdict.rs
@@ -38,8 +38,8 @@
     /// It may be the cause of several crashes: it runs at one place at a time.
     Trial,
     /// A part on trial with enough crashes to be refused, but too few of them came of its trial, or
-    /// another part may be their cause: requests with one such part run at one place at a time,
-    /// those with more are refused.
+    /// another part, its rival, may be their cause. A request with the part and all of its rivals
+    /// would not tell them apart: it is refused after some trials. The others go on to be tried.
     Contested,
     /// It is taken for the cause.
     Refused,
@@ -58,16 +58,43 @@
     }
 }
 
+/// What is known of a contested part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Contest {
+    /// The parts that may be the cause instead.
+    pub rivals: Vec<Subject>,
+    /// Whether enough crashes came of trials of the part.
+    pub was_tried: bool,
+}
+
+/// The outcome of judging all subjects.
+#[derive(Debug)]
+pub(crate) struct Judgement {
+    /// Subjects that may run like any other are missing.
+    pub verdicts: BTreeMap<Subject, Verdict>,
+    /// Invariant: the parts that are [`Verdict::Contested`].
+    pub contests: BTreeMap<Subject, Contest>,
+}
+
+impl Judgement {
+    pub const fn new() -> Self {
+        Self {
+            verdicts: BTreeMap::new(),
+            contests: BTreeMap::new(),
+        }
+    }
+}
+
 /// By subject, the crashes that count against it and that no refused subject explains.
 type Open<'a> = BTreeMap<Subject, BTreeSet<&'a Crash>>;
 
-/// Judges all subjects. Those without a verdict are missing in the result.
+/// Judges all subjects.
 /// `crashes_until_refused` are the crashes after which a request is refused, whatever else was
 /// in flight on them.
 pub(crate) fn judge(
     evidence: &BTreeMap<Subject, Evidence>,
     crashes_until_refused: u32,
-) -> BTreeMap<Subject, Verdict> {
+) -> Judgement {
     let counting = evidence
         .iter()
         .map(|(subject, evidence)| (*subject, evidence.counting().collect::<BTreeSet<_>>()))
@@ -88,14 +115,18 @@
             parts.insert(part, left);
             continue;
         }
+        let mut judgement = Judgement {
+            verdicts,
+            contests: BTreeMap::new(),
+        };
         judge_open_parts(
             evidence,
             parts,
-            &requests,
+            &several,
             crashes_until_refused,
-            &mut verdicts,
+            &mut judgement,
         );
-        return verdicts;
+        return judgement;
     }
 }
 
@@ -150,9 +181,9 @@
     mut parts: Open<'_>,
     requests: &Open<'_>,
     crashes_until_refused: u32,
-    verdicts: &mut BTreeMap<Subject, Verdict>,
+    judgement: &mut Judgement,
 ) {
-    let is_refused = |subject: &Subject| verdicts.get(subject) == Some(&Verdict::Refused);
+    let is_refused = |subject: &Subject| judgement.verdicts.get(subject) == Some(&Verdict::Refused);
     let refused: Vec<Subject> = parts.keys().copied().filter(is_refused).collect();
     let certain = requests.iter().filter(|(request, crashes)| {
         is_refused(request) && crashes.len() >= crashes_until_refused as usize
@@ -169,10 +200,27 @@
         } else {
             open_part_verdict(crashes.len(), evidence[part].completed().is_some())
         };
-        verdicts.extend(verdict.map(|verdict| (*part, verdict)));
+        judgement
+            .verdicts
+            .extend(verdict.map(|verdict| (*part, verdict)));
+        if verdict == Some(Verdict::Contested) {
+            let others = parts.iter().filter(|(other, _)| *other != part);
+            let rivals = others.filter(|(_, beside)| is_rival(crashes, beside));
+            let contest = Contest {
+                rivals: rivals.map(|(rival, _)| *rival).collect(),
+                was_tried: evidence[part].trials(crashes) >= TRIALS_UNTIL_REFUSED,
+            };
+            judgement.contests.insert(*part, contest);
+        }
     }
 }
 
+/// Whether a part in flight on the crashes `beside` may be the cause of `crashes`, but for one that
+/// may have had another cause.
+fn is_rival(crashes: &BTreeSet<&Crash>, beside: &BTreeSet<&Crash>) -> bool {
+    beside.len() >= RIVAL_CRASHES && crashes.difference(beside).count() <= 1
+}
+
 const fn until_refused(is_proven: bool) -> usize {
     if is_proven {
         PROVEN_PART_CRASHES_UNTIL_REFUSED
@@ -191,10 +239,7 @@
 ) -> Option<Subject> {
     let is_cause = |part: &Subject, crashes: &BTreeSet<&Crash>| {
         let rival = |other: &Subject, beside: &BTreeSet<&Crash>| {
-            other != part
-                && (proven || among(other))
-                && beside.len() >= RIVAL_CRASHES
-                && crashes.difference(beside).count() <= 1
+            other != part && (proven || among(other)) && is_rival(crashes, beside)
         };
         among(part)
             && was_tried(part, crashes)
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -110,6 +110,21 @@
     );
 }
 
+#[test]
+fn a_request_with_all_parts_that_cannot_be_told_apart_is_refused_and_one_with_some_is_tried() {
+    let all = [SHARED, OTHER, CULPRIT];
+    let mut suspects = after(6, &all);
+    assert!(!suspects.is_hopeless(&all), "no trial yet");
+    tried(&mut suspects, &[4, 5], &all);
+    assert!(suspects.is_hopeless(&all));
+    assert!(!suspects.is_hopeless(&[SHARED, OTHER]));
+    assert!(!suspects.is_hopeless(&[SHARED, Subject::Part(77)]));
+    for part in [SHARED, OTHER] {
+        suspects.clear(NOW, part);
+    }
+    assert!(suspects.is_refused(CULPRIT));
+}
+
 #[test]
 fn of_two_parts_that_cannot_be_told_apart_none_is_refused() {
     let mut suspects = after(6, &[SHARED, CULPRIT]);
