Edge: a resumed stream without an event clears nobody of a crash

A stream that is resumed after its last event is complete with no event. It counted as a run to its end and cleared the parts of its prompt, although the upstream had written nothing on them. It now has the ending of an answer that is no success, renamed to Inconclusive. With the distinction taken out, a_resumed_stream_may_have_no_event_left fails.

--- a/crates/daemon/tests/answer_ends.rs
+++ b/crates/daemon/tests/answer_ends.rs
@@ -321,6 +321,9 @@
             "{script:?}: {answer:?}"
         );
     }
+    let count = Framing::ALL.len();
+    site.host
+        .wait_until(|host| host.logged("ending=Inconclusive") == count);
 }
 
 #[test]
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -259,7 +259,7 @@
     fn finish(&self, state: &mut RequestState, target: &Target, ending: Ending) {
         self.record_ending(state, target, ending);
         let (outcome, reason) = match ending {
-            Ending::Done | Ending::Unsuccessful => ("ran", ""),
+            Ending::Done | Ending::Inconclusive => ("ran", ""),
             Ending::Abandoned => ("abandoned", Reason::CallerGone.label()),
             _ => ("failed", "upstream"),
         };
@@ -284,7 +284,7 @@
         }
         if !matches!(
             ending,
-            Ending::Done | Ending::Unsuccessful | Ending::Abandoned
+            Ending::Done | Ending::Inconclusive | Ending::Abandoned
         ) {
             self.shared
                 .metrics
@@ -648,7 +648,7 @@
         let ending = if head.status.is_success() {
             Ending::Done
         } else {
-            Ending::Unsuccessful
+            Ending::Inconclusive
         };
         let failed = head.status.is_server_error();
         let answer = Response::from_parts(head, bytes);
@@ -788,7 +788,12 @@
         if !reply.close {
             connection.return_to_pool(reply.keep_alive);
         }
-        DispatchEnd::Finished(Ending::Done)
+        let ending = if stream.has_event || !is_event_stream {
+            Ending::Done
+        } else {
+            Ending::Inconclusive
+        };
+        DispatchEnd::Finished(ending)
     }
 
     /// Relays the whole events of a stream until it ends.
--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -367,7 +367,7 @@
                 self.end_trial(request);
             }
             // An upstream that answers or sends too much is running.
-            Ending::Failed | Ending::Unsuccessful | Ending::Excessive => self.end_trial(request),
+            Ending::Failed | Ending::Inconclusive | Ending::Excessive => self.end_trial(request),
             Ending::NotRun | Ending::Misplaced | Ending::NotSent => {}
             // The caller may have left because the upstream had ended in silence.
             Ending::Abandoned => {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -857,7 +857,7 @@
                 request.may_have_run = true;
                 request.excluded.push(id);
             }
-            Ending::Done | Ending::Unsuccessful | Ending::Abandoned => request.may_have_run = true,
+            Ending::Done | Ending::Inconclusive | Ending::Abandoned => request.may_have_run = true,
         }
     }
 }
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -197,8 +197,9 @@
 pub enum Ending {
     /// The answer arrived completely and is a success.
     Done,
-    /// The answer arrived completely, is no success, and goes to the caller.
-    Unsuccessful,
+    /// The answer arrived completely and goes to the caller, but does not show that the upstream
+    /// wrote an answer to the request: it is no success, or a resumed stream without an event.
+    Inconclusive,
     /// The upstream answered with an error.
     Failed,
     /// The upstream answered that it has not run the request.
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -161,7 +161,7 @@
     /// Updates the failure count and the cooldown by how a dispatch ended.
     pub fn record_ending(&mut self, now: Time, ending: Ending) {
         match ending {
-            Ending::Done | Ending::Unsuccessful => {
+            Ending::Done | Ending::Inconclusive => {
                 self.failure_share.record(now, false);
                 self.failures = 0;
                 self.next_cooldown = MIN_COOLDOWN_PERIOD;
--- a/crates/gate/tests/trial.rs
+++ b/crates/gate/tests/trial.rs
@@ -125,8 +125,8 @@
 }
 
 #[test]
-fn an_answer_that_is_no_success_clears_nothing() {
-    for ending in [Ending::Unsuccessful, Ending::Failed] {
+fn an_answer_that_is_no_success_or_has_no_event_clears_nothing() {
+    for ending in [Ending::Inconclusive, Ending::Failed] {
         let mut gate = gate_with_trial();
         let (mut request, to) = run_on_trial(&mut gate, FIRST);
         gate.record_ending(NOW, &mut request, to.id, ending);
