Suspect: what is kept of crashes, and for how long

Three ways in which a crashing part could reach engines again, found by reading and each shown by a test that failed: - Crashes of which a subject was cleared stayed among the eight that are kept, by the order of their names: a popular part that was cleared of eight took no further crash, so that one that begins to crash engines would never have been suspected. Those that count come first now, and of these the ones under trial. - A refusal ended ten minutes after the last request with the part, and a host that started later did not accept evidence older than that. Evidence on a part with two crashes under trial is kept for 24 hours after the last one. - The requests in flight on crashes displaced parts beyond the limit of 1,024 subjects. Requests and parts have a limit each.

A crash under trial is always among those kept, so that a complete run clears it as well, which the set beside them could miss.

--- a/crates/suspect/src/evidence.rs
+++ b/crates/suspect/src/evidence.rs
@@ -1,14 +1,20 @@
 //! What is known of one subject.
 
 use crate::subject::Subject;
-use mulberryrack_core::{Name, Time};
+use mulberryrack_core::{Name, Time, hash};
 use mulberryrack_wire::route::{Crash as CrashMessage, Suspicion};
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Time since a completed run after which another one is news.
 const COMPLETION_REFRESH: Duration = Duration::from_secs(5);
 /// Largest number of crashes kept for one subject. It is refused long before that.
 const MAX_CRASHES: usize = 8;
+/// Crashes under trial after which a part is refused. One may have been that of a request which
+/// itself crashes upstreams; such a request is not tried twice.
+pub(crate) const TRIALS_UNTIL_REFUSED: usize = 2;
 
 /// Identifies a crash: the upstream and its incarnation that ended.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -19,16 +25,21 @@
     pub incarnation: u64,
 }
 
+/// What is known of a crash on which a subject was in flight.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Mark {
+    /// Whether the subject was cleared of the crash.
+    cleared: bool,
+    /// Whether the subject, a part, was on trial with a request that nothing else counted against.
+    tried: bool,
+}
+
 /// Crashes during which a subject was in flight.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Evidence {
-    /// Invariant: at most [`MAX_CRASHES`], the first in order, so that all hosts keep the same.
-    crashes: BTreeSet<Crash>,
-    /// Crashes of which the subject was cleared. Invariant: as for `crashes`.
-    cleared: BTreeSet<Crash>,
-    /// Crashes on which a request with the part was in flight on trial, while nothing else counted
-    /// against it. Invariant: as for `crashes`.
-    tried: BTreeSet<Crash>,
+    /// Invariant: at most [`MAX_CRASHES`]. Those that count come first, and of these the ones under
+    /// trial; then the order of names decides, so that all hosts keep the same.
+    crashes: BTreeMap<Crash, Mark>,
     /// When a request with the part last ran to its end, before the crashes or after, by this
     /// host's clock; `None` if that is long ago or unknown, and for requests.
     completed: Option<Time>,
@@ -39,9 +50,7 @@
 impl Evidence {
     pub(crate) const fn new(changed: Time) -> Self {
         Self {
-            crashes: BTreeSet::new(),
-            cleared: BTreeSet::new(),
-            tried: BTreeSet::new(),
+            crashes: BTreeMap::new(),
             completed: None,
             changed,
         }
@@ -49,46 +58,87 @@
 
     /// The crashes that count against the subject.
     pub fn counting(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes.difference(&self.cleared)
+        let counting = self.crashes.iter().filter(|(_, mark)| !mark.cleared);
+        counting.map(|(crash, _)| crash)
     }
 
-    /// Number of crashes that came of trials of the part, of those that count and are among
-    /// `open`. Those that are no longer kept with the others count as well.
+    /// Number of crashes that came of trials of the part, of those that are among `open`.
     pub(crate) fn trials(&self, open: &BTreeSet<&Crash>) -> usize {
-        let counts = |crash: &&Crash| {
-            open.contains(crash) || !(self.crashes.contains(crash) || self.cleared.contains(crash))
-        };
-        self.tried.iter().filter(counts).count()
+        let tried = self.crashes.iter().filter(|(_, mark)| mark.tried);
+        tried.filter(|(crash, _)| open.contains(crash)).count()
     }
 
-    /// Crashes that came of a trial of the part.
-    pub(crate) fn tried(&self) -> impl Iterator<Item = &Crash> {
-        self.tried.iter()
+    /// Whether enough crashes came of trials of the part to refuse it, whatever else was in flight.
+    pub(crate) fn was_tried(&self) -> bool {
+        let marks = self.crashes.values();
+        marks.filter(|mark| mark.tried && !mark.cleared).count() >= TRIALS_UNTIL_REFUSED
     }
 
-    /// All crashes, with those of which the fingerprint was cleared.
-    pub(crate) fn all(&self) -> impl Iterator<Item = (&Crash, bool)> {
-        let crashes = self.crashes.iter().map(|crash| (crash, false));
-        crashes.chain(self.cleared.iter().map(|crash| (crash, true)))
+    /// Whether there is no crash, cleared or not.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Hash of the crashes and of what is known of them.
+    pub(crate) fn digest(&self, seed: u64) -> u64 {
+        let add = |digest: u64, (crash, mark): (&Crash, &Mark)| {
+            let digest = hash::stable(crash.upstream.as_bytes(), digest);
+            let digest = hash::stable(&crash.incarnation.to_le_bytes(), digest);
+            hash::stable(&[u8::from(mark.cleared), u8::from(mark.tried)], digest)
+        };
+        self.crashes.iter().fold(seed, add)
     }
 
     pub(crate) fn add(&mut self, now: Time, crash: Crash) {
-        insert(&mut self.crashes, crash);
+        self.insert(crash, Mark::default());
         self.changed = now;
     }
 
     pub(crate) fn add_trial(&mut self, now: Time, crash: Crash) {
-        insert(&mut self.tried, crash);
+        let mark = Mark {
+            tried: true,
+            ..Mark::default()
+        };
+        self.insert(crash, mark);
         self.changed = now;
     }
 
     pub(crate) fn clear(&mut self, now: Time, crashes: impl IntoIterator<Item = Crash>) {
         for crash in crashes {
-            insert(&mut self.cleared, crash);
+            let mark = Mark {
+                cleared: true,
+                ..Mark::default()
+            };
+            self.insert(crash, mark);
         }
         self.changed = now;
     }
 
+    /// Adds what is known of a crash, and drops the last one if there are too many. Returns whether
+    /// that changed anything.
+    fn insert(&mut self, crash: Crash, mark: Mark) -> bool {
+        let former = self.crashes.get(&crash).copied();
+        let known = former.unwrap_or_default();
+        let merged = Mark {
+            cleared: known.cleared || mark.cleared,
+            tried: known.tried || mark.tried,
+        };
+        if former == Some(merged) {
+            return false;
+        }
+        self.crashes.insert(crash.clone(), merged);
+        if self.crashes.len() <= MAX_CRASHES {
+            return true;
+        }
+        let rank = |(crash, mark): &(&Crash, &Mark)| (mark.cleared, !mark.tried, (*crash).clone());
+        let last = self.crashes.iter().max_by_key(rank);
+        let last = last.map(|(crash, _)| crash.clone());
+        if let Some(last) = &last {
+            self.crashes.remove(last);
+        }
+        last != Some(crash)
+    }
+
     /// When a request with the part last ran to its end, as far as that is known.
     #[must_use]
     pub const fn completed(&self) -> Option<Time> {
@@ -120,14 +170,8 @@
     /// would never let it expire.
     pub(crate) fn merge(&mut self, other: &Self) -> bool {
         let mut news = false;
-        for crash in &other.crashes {
-            news |= insert(&mut self.crashes, crash.clone());
-        }
-        for crash in &other.cleared {
-            news |= insert(&mut self.cleared, crash.clone());
-        }
-        for crash in &other.tried {
-            news |= insert(&mut self.tried, crash.clone());
+        for (crash, mark) in &other.crashes {
+            news |= self.insert(crash.clone(), *mark);
         }
         if news {
             self.changed = self.changed.max(other.changed);
@@ -137,18 +181,24 @@
     }
 
     pub(crate) fn encode(&self, now: Time, subject: Subject) -> Suspicion {
-        let message = |crash: &Crash| CrashMessage {
-            upstream: crash.upstream.to_string(),
-            incarnation: crash.incarnation,
-        };
         let age_ms = |at: Time| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let messages = |has: fn(&Mark) -> bool| {
+            let crashes = self.crashes.iter().filter(move |(_, mark)| has(mark));
+            crashes
+                .map(|(crash, _)| CrashMessage {
+                    upstream: crash.upstream.to_string(),
+                    incarnation: crash.incarnation,
+                })
+                .collect()
+        };
         Suspicion {
             fingerprint: subject.id().to_le_bytes().to_vec().into(),
-            crashes: self.crashes.iter().map(message).collect(),
-            cleared: self.cleared.iter().map(message).collect(),
+            // Hosts of earlier versions look for the cleared ones in both lists.
+            crashes: messages(|_| true),
+            cleared: messages(|mark| mark.cleared),
+            tried: messages(|mark| mark.tried),
             age_ms: age_ms(self.changed),
             part: subject.is_part(),
-            tried: self.tried.iter().map(message).collect(),
             completed_age_ms: self.completed.map(age_ms),
         }
     }
@@ -162,14 +212,16 @@
         };
         let mut evidence = Self::new(before(suspicion.age_ms));
         evidence.completed = suspicion.completed_age_ms.map(before);
-        for message in suspicion.crashes {
-            insert(&mut evidence.crashes, message.into());
-        }
-        for message in suspicion.cleared {
-            insert(&mut evidence.cleared, message.into());
-        }
-        for message in suspicion.tried {
-            insert(&mut evidence.tried, message.into());
+        let cleared: BTreeSet<Crash> = suspicion.cleared.into_iter().map(Into::into).collect();
+        let tried: BTreeSet<Crash> = suspicion.tried.into_iter().map(Into::into).collect();
+        let crashes = suspicion.crashes.into_iter().map(Into::into);
+        let crashes: BTreeSet<Crash> = crashes.chain(cleared.iter().cloned()).collect();
+        for crash in crashes {
+            let mark = Mark {
+                cleared: cleared.contains(&crash),
+                tried: tried.contains(&crash),
+            };
+            evidence.insert(crash, mark);
         }
         Some((subject, evidence))
     }
@@ -183,12 +235,3 @@
         }
     }
 }
-
-/// Inserts a crash and keeps the first [`MAX_CRASHES`]. Returns whether the set has changed.
-fn insert(crashes: &mut BTreeSet<Crash>, crash: Crash) -> bool {
-    let is_new = crashes.insert(crash.clone());
-    if crashes.len() <= MAX_CRASHES {
-        return is_new;
-    }
-    crashes.pop_last() != Some(crash)
-}
--- a/crates/suspect/src/permits.rs
+++ b/crates/suspect/src/permits.rs
@@ -38,8 +38,8 @@
 struct Permit {
     holder: Holder,
     until: Time,
-    /// Number of crashes known of the subject when the permit was given.
-    known_crashes: usize,
+    /// What was known of the subject's crashes when the permit was given.
+    digest: u64,
 }
 
 /// The permits that a host has given.
@@ -76,7 +76,7 @@
             let permit = Permit {
                 holder: holder.clone(),
                 until: now + PERMIT_PERIOD,
-                known_crashes: suspects.known_crashes(*subject),
+                digest: suspects.subject_digest(*subject),
             };
             self.by_subject.entry(*subject).or_default().push(permit);
         }
@@ -85,8 +85,8 @@
 
     fn drop_ended(&mut self, now: Time, suspects: &Suspects) {
         for (subject, permits) in &mut self.by_subject {
-            let known = suspects.known_crashes(*subject);
-            permits.retain(|permit| permit.until > now && permit.known_crashes == known);
+            let digest = suspects.subject_digest(*subject);
+            permits.retain(|permit| permit.until > now && permit.digest == digest);
         }
         self.by_subject.retain(|_, permits| !permits.is_empty());
     }
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -14,6 +14,9 @@
 
 /// Time for which a completed run of a request with a part speaks for the part.
 const COMPLETION_PERIOD: Duration = Duration::from_secs(60);
+/// Time for which evidence is kept on a part that is refused, or would be but for its rivals. It
+/// took several crashes of the part alone, so that a longer time than for others is safe.
+const TRIED_PART_PERIOD: Duration = Duration::from_secs(24 * 3_600);
 /// Largest number of changed verdicts kept until they are taken.
 const MAX_CHANGES: usize = 1_024;
 
@@ -22,9 +25,10 @@
 pub struct Limits {
     /// Crashes after which a request is refused, whatever else was in flight on them.
     pub crashes_until_refused: u32,
-    /// Largest number of subjects for which evidence is kept.
+    /// Largest number of requests for which evidence is kept, and of parts.
     pub max_suspects: usize,
-    /// Time after the last change of the evidence on a subject at which it expires.
+    /// Time after the last change of the evidence on a subject at which it expires. It is longer
+    /// for parts that crashed upstreams under trial.
     pub suspicion_period: Duration,
 }
 
@@ -67,12 +71,10 @@
         evidence.into_iter().flat_map(Evidence::counting)
     }
 
-    /// Number of crashes known of a subject, also of those that it was cleared of or that came of
-    /// its trials. It changes with each piece of news, until so many are known that no more are
-    /// kept.
-    pub(crate) fn known_crashes(&self, subject: Subject) -> usize {
+    /// Hash of what is known of a subject's crashes. It changes with each piece of news.
+    pub(crate) fn subject_digest(&self, subject: Subject) -> u64 {
         let evidence = self.merged.get(&subject);
-        evidence.map_or(0, |it| it.all().count() + it.tried().count())
+        evidence.map_or(0, |evidence| evidence.digest(0))
     }
 
     /// Whether a subject is suspected: a crash counts against it.
@@ -135,16 +137,16 @@
     /// Time until the evidence on a subject expires.
     pub fn remaining(&self, subject: impl Into<Subject>, now: Time) -> Option<Duration> {
         let evidence = self.merged.get(&subject.into())?;
-        Some((evidence.changed + self.limits.suspicion_period).since(now))
+        Some((evidence.changed + self.limits.period(evidence)).since(now))
     }
 
     /// Keeps the evidence on a refused subject that is still asked for, once half of its time is
     /// over. Returns whether it did; this host counts as a witness then.
     pub fn renew(&mut self, now: Time, subject: Subject) -> bool {
-        let half = self.limits.suspicion_period / 2;
         let Some(evidence) = self.merged.get_mut(&subject) else {
             return false;
         };
+        let half = self.limits.period(evidence) / 2;
         if (evidence.changed + half) > now {
             return false;
         }
@@ -228,9 +230,8 @@
 
     /// Merges the evidence of another host. Returns the subjects on which it was news.
     pub fn learn(&mut self, now: Time, suspicions: Vec<Suspicion>) -> Vec<Subject> {
-        let is_usable = |evidence: &Evidence| {
-            evidence.all().next().is_some() && self.limits.is_fresh(evidence, now)
-        };
+        let is_usable =
+            |evidence: &Evidence| !evidence.is_empty() && self.limits.is_fresh(evidence, now);
         let decoded = suspicions
             .into_iter()
             .filter_map(|suspicion| Evidence::decode(now, suspicion))
@@ -266,7 +267,9 @@
         let known = self.merged.len();
         for map in [&mut self.own, &mut self.merged] {
             map.retain(|_, evidence| self.limits.is_fresh(evidence, now));
-            drop_weakest(map, self.limits.max_suspects);
+            for is_part in [false, true] {
+                drop_weakest(map, is_part, self.limits.max_suspects);
+            }
         }
         let all = self.merged.values_mut();
         let expired = all.filter_map(|evidence| {
@@ -303,17 +306,7 @@
         let mut digest = 0;
         for (subject, evidence) in &self.merged {
             digest = hash::stable(&subject.id().to_le_bytes(), digest);
-            if evidence.completed().is_some() {
-                digest = hash::stable(b"completed", digest);
-            }
-            for crash in evidence.tried() {
-                digest = hash::stable(crash.upstream.as_bytes(), digest);
-            }
-            for (crash, cleared) in evidence.all() {
-                let seed = hash::stable(crash.upstream.as_bytes(), digest);
-                let tail = (crash.incarnation << 1) | u64::from(cleared);
-                digest = hash::stable(&tail.to_le_bytes(), seed);
-            }
+            digest = evidence.digest(digest ^ u64::from(evidence.completed().is_some()));
         }
         digest
     }
@@ -358,19 +351,31 @@
 
 impl Limits {
     fn is_fresh(&self, evidence: &Evidence, now: Time) -> bool {
-        evidence.changed + self.suspicion_period > now
+        evidence.changed + self.period(evidence) > now
+    }
+
+    fn period(&self, evidence: &Evidence) -> Duration {
+        if evidence.was_tried() {
+            TRIED_PART_PERIOD
+        } else {
+            self.suspicion_period
+        }
     }
 }
 
-/// Drops the entries with the fewest crashes, and of those the oldest, beyond `limit`.
-fn drop_weakest(map: &mut BTreeMap<Subject, Evidence>, limit: usize) {
-    let surplus = map.len().saturating_sub(limit);
+/// Drops the parts, or the requests, with the fewest crashes, and of those the oldest, beyond
+/// `limit`.
+fn drop_weakest(map: &mut BTreeMap<Subject, Evidence>, is_part: bool, limit: usize) {
+    let of_kind = |subject: &Subject| subject.is_part() == is_part;
+    let surplus = map.keys().filter(|subject| of_kind(subject)).count();
+    let surplus = surplus.saturating_sub(limit);
     if surplus == 0 {
         return;
     }
     let weight = |evidence: &Evidence| (evidence.counting().count(), evidence.changed);
     let mut by_weight: Vec<_> = map
         .iter()
+        .filter(|(subject, _)| of_kind(subject))
         .map(|(subject, evidence)| (weight(evidence), *subject))
         .collect();
     by_weight.sort_unstable();
--- a/crates/suspect/src/verdict.rs
+++ b/crates/suspect/src/verdict.rs
@@ -6,7 +6,7 @@
 //! end. Until that is known, a subject is on trial: it runs at one place at a time.
 
 use crate::{
-    evidence::{Crash, Evidence},
+    evidence::{Crash, Evidence, TRIALS_UNTIL_REFUSED},
     subject::Subject,
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,9 +23,6 @@
 /// crashes or after.
 const PROVEN_PART_CRASHES_UNTIL_TRIAL: usize = 4;
 const PROVEN_PART_CRASHES_UNTIL_REFUSED: usize = 5;
-/// Crashes under trial after which a part is refused. One may have been that of a request which
-/// itself crashes upstreams; such a request is not tried twice.
-const TRIALS_UNTIL_REFUSED: usize = 2;
 /// Crashes of a part from which on it may be the cause instead of another part that was in
 /// flight on them.
 const RIVAL_CRASHES: usize = 3;
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -125,6 +125,31 @@
     assert!(suspects.is_refused(CULPRIT));
 }
 
+#[test]
+fn a_sound_part_that_begins_to_crash_upstreams_is_found_however_often_it_was_cleared() {
+    let mut suspects = after(0, &[]);
+    for number in 0..12 {
+        crash_with(&mut suspects, number, &[CULPRIT]);
+        suspects.clear(NOW, CULPRIT);
+    }
+    for number in 50..55 {
+        crash_with(&mut suspects, number, &[CULPRIT]);
+    }
+    tried(&mut suspects, &[53, 54], &[CULPRIT]);
+    assert!(suspects.is_refused(CULPRIT));
+}
+
+#[test]
+fn a_complete_run_clears_a_part_of_all_crashes_under_trial() {
+    let mut suspects = after(20, &[CULPRIT]);
+    tried(&mut suspects, &[18, 19], &[CULPRIT]);
+    assert!(suspects.is_refused(CULPRIT));
+    suspects.clear(NOW, CULPRIT);
+    assert_eq!(suspects.verdict(CULPRIT), None);
+    (30..36).for_each(|number| crash_with(&mut suspects, number, &[CULPRIT]));
+    assert!(!suspects.is_refused(CULPRIT), "not tried since");
+}
+
 #[test]
 fn of_two_parts_that_cannot_be_told_apart_none_is_refused() {
     let mut suspects = after(6, &[SHARED, CULPRIT]);
@@ -192,19 +217,45 @@
 }
 
 #[test]
-fn a_refusal_does_not_end_while_the_part_is_asked_for() {
+fn a_refused_part_stays_refused_through_hours_also_at_hosts_that_start_later() {
     let mut suspects = after(4, &[CULPRIT]);
     tried(&mut suspects, &[2, 3], &[CULPRIT]);
     let mut now = NOW;
-    while now < NOW + LIMITS.suspicion_period * 3 {
-        now = now + Duration::from_secs(60);
+    while now < NOW + Duration::from_secs(6 * 3_600) {
+        now = now + Duration::from_secs(50 * 60);
         suspects.expire(now);
         assert!(suspects.is_refused(CULPRIT), "{now:?}");
-        suspects.renew(now, CULPRIT);
+        let mut later = Suspects::new(LIMITS);
+        later.learn(now, suspects.export(now, CULPRIT).into_iter().collect());
+        later.expire(now);
+        assert!(later.is_refused(CULPRIT), "{now:?}");
+    }
+}
+
+#[test]
+fn a_refusal_does_not_end_while_the_subject_is_asked_for() {
+    for (subject, period) in [
+        (Subject::Request(7), LIMITS.suspicion_period),
+        (CULPRIT, Duration::from_secs(24 * 3_600)),
+    ] {
+        let mut suspects = Suspects::new(LIMITS);
+        for number in 0..4 {
+            suspects.record_crash(NOW, &crash(number), [subject]);
+        }
+        if subject.is_part() {
+            tried(&mut suspects, &[2, 3], &[subject]);
+        }
+        let mut now = NOW;
+        while now < NOW + period * 3 {
+            now = now + period / 10;
+            suspects.expire(now);
+            assert!(suspects.is_refused(subject), "{subject:?} {now:?}");
+            suspects.renew(now, subject);
+        }
+        assert!(suspects.is_witness(subject), "writes the key again");
+        suspects.expire(now + period);
+        assert!(suspects.is_empty(), "{subject:?}");
     }
-    assert!(suspects.is_witness(CULPRIT), "writes the key again");
-    suspects.expire(now + LIMITS.suspicion_period);
-    assert!(suspects.is_empty());
 }
 
 #[test]
--- a/crates/suspect/tests/suspects.rs
+++ b/crates/suspect/tests/suspects.rs
@@ -128,6 +128,20 @@
     assert!(suspects.is_refused(CULPRIT));
 }
 
+#[test]
+fn requests_in_flight_on_a_crash_do_not_displace_parts_nor_parts_requests() {
+    let mut suspects = after(&[&[CULPRIT]]);
+    suspects.record_crash(NOW, &crash(0), [Subject::Part(CULPRIT)]);
+    let later = NOW + Duration::from_secs(1);
+    suspects.record_crash(later, &crash(9), 1_000_u128..2_000);
+    assert!(suspects.is_suspect(Subject::Part(CULPRIT)));
+    assert!(!suspects.is_suspect(CULPRIT), "displaced by later ones");
+    suspects.record_crash(later, &crash(9), (1_000..2_000).map(Subject::Part));
+    let requests = suspects.subjects().filter(|subject| !subject.is_part());
+    assert_eq!(requests.count(), LIMITS.max_suspects);
+    assert_eq!(suspects.subjects().count(), LIMITS.max_suspects * 2);
+}
+
 #[test]
 fn the_order_in_which_evidence_arrives_does_not_matter() {
     for seed in 0..200 {
