Gate: a request waits for a permit once an upstream could run it

A request with a part on trial waited for a permit first, also when no upstream had its model or none was left: it took a turn that others could have used, and its caller was told of the trial and not of the cause.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -476,9 +476,6 @@
         if request.may_have_run && !request.may_rerun(false) {
             return Decision::Fail;
         }
-        if let Some(decision) = self.trial_decision(now, request) {
-            return decision;
-        }
         let (candidate, candidates) = self.choose(now, request);
         let Some(candidate) = candidate else {
             if request.stream_begun {
@@ -520,6 +517,9 @@
                 refuse_or_fail(request, Reason::UpstreamRefused, Some(REFUSED_RETRY_DELAY));
             return Some(decision);
         }
+        if let Some(decision) = self.trial_decision(now, request) {
+            return Some(decision);
+        }
         if let Some(decision) = self.turn_decision(now, request, candidate.id) {
             return Some(decision);
         }
--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -72,6 +72,14 @@
         })
     }
 
+    /// The subject of a request with the most severe verdict, for the log.
+    #[must_use]
+    pub fn blamed(&self, request: &RequestState) -> Option<Subject> {
+        let subjects = request.subjects.iter().copied();
+        let most = subjects.max_by_key(|subject| self.suspects.verdict(*subject))?;
+        self.suspects.verdict(most).map(|_| most)
+    }
+
     /// Whether a crash counts against the request that nothing else explains.
     pub(crate) fn is_suspect(&self, request: &RequestState) -> bool {
         let mut subjects = request.subjects.iter();
--- a/crates/gate/tests/trial.rs
+++ b/crates/gate/tests/trial.rs
@@ -101,6 +101,20 @@
     }
 }
 
+#[test]
+fn a_request_whose_model_no_upstream_has_waits_for_the_model_first() {
+    let mut gate = gate_with_trial();
+    for number in 0..6 {
+        gate.deregister(&format!("e{number}"));
+    }
+    let mut request = admit(&mut gate, FIRST);
+    let decision = gate.decide(NOW, &mut request, None);
+    assert!(
+        matches!(decision, Decision::AwaitPlacement(_)),
+        "{decision:?}"
+    );
+}
+
 #[test]
 fn two_requests_with_a_part_run_at_once_and_the_others_wait() {
     let mut gate = gate_with_trial();
