Edge: the line of a refused request says which part decided; bounds on questions and keys

From a refused request an operator could not come to the part: it was never sent, so that no line named its parts.

A waiting request asked for a permit with each change of upstreams or placements, of which a large fleet has many, instead of at its interval. And any of the hosts that had refused a request could write its key again within 200 ms of the old one's end: at 1,400 hosts that is a burst on the key-value service. The delay now grows with the number of hosts.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -14,6 +14,7 @@
     permits,
     replies::{self, Asked},
     shared::Shared,
+    suspects,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Version, header, request, response, uri::PathAndQuery};
@@ -25,6 +26,7 @@
 };
 use mulberryrack_gate::{Decision, Ending, RequestState, Target};
 use mulberryrack_site::{Dialect, request::Dispatch, upstream::ReplyHead};
+use mulberryrack_suspect::Subject;
 use std::{rc::Rc, time::Duration};
 use tokio::{sync::mpsc, task, time};
 
@@ -396,6 +398,7 @@
     fn record_end(&self, state: &RequestState, outcome: &'static str, reason: &'static str) {
         let elapsed = self.elapsed(state);
         self.shared.metrics.record_end(outcome, reason, elapsed);
+        let blamed = self.shared.gate.borrow().blamed(state);
         journal!(
             warn,
             "ended",
@@ -405,6 +408,9 @@
             config = state.config_version,
             outcome = outcome,
             reason = reason,
+            parts = state.shared_parts(),
+            blamed = blamed.map_or_else(|| "-".to_owned(), suspects::subject_id),
+            blamed_kind = blamed.map_or("-", Subject::kind),
             sends = state.tried_count(),
             begun = self.progress.head_sent,
             version = format_args!("{:?}", self.head.version),
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -17,6 +17,7 @@
 /// A request for a permit to another host.
 pub struct Asked {
     giver: Name,
+    sent_at: Time,
     /// Since when there is no answer; `None` after an answer.
     unanswered_since: Option<Time>,
     is_granted: bool,
@@ -31,6 +32,11 @@
     let now = shared.clock.now();
     skip_silent_giver(shared, now, request.number());
     let mut gate = shared.gate.borrow_mut();
+    let sent_at = |number| Some(shared.permits_asked.borrow().get(&number)?.sent_at);
+    let interval = gate.ask_interval();
+    if sent_at(request.number()).is_some_and(|at| now.since(at) < interval) {
+        return false;
+    }
     let Some(ask) = gate.ask_for_permit(now, request) else {
         return false;
     };
@@ -45,10 +51,12 @@
     let mut all_asked = shared.permits_asked.borrow_mut();
     let asked = all_asked.entry(request.number()).or_insert_with(|| Asked {
         giver: giver.clone(),
+        sent_at: now,
         unanswered_since: None,
         is_granted: false,
     });
     asked.giver.clone_from(&giver);
+    asked.sent_at = now;
     asked.unanswered_since.get_or_insert(now);
     drop(all_asked);
     send(shared, &giver, Body::PermitAsk(message(&ask)));
--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -21,6 +21,9 @@
 /// Upper bound of the random delay before a key is written. Several hosts see the same crash,
 /// but one key is enough.
 const MAX_WRITE_JITTER_MS: u64 = 200;
+/// The same for each host, if that is longer: any host that has refused requests with a subject
+/// writes its key again when that has ended.
+const WRITE_JITTER_PER_HOST_MS: u64 = 10;
 /// Delay before keys that could not be written are tried again.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Longest time to live that the key-value service allows for a lease.
@@ -33,7 +36,9 @@
             shared.refusals_changed.notified().await;
         }
         let seed = shared.clock.now().as_micros();
-        let jitter_ms = hash::stable(shared.settings.host.as_bytes(), seed) % MAX_WRITE_JITTER_MS;
+        let host_count = shared.hosts.borrow().len() as u64;
+        let max_jitter_ms = MAX_WRITE_JITTER_MS.max(host_count * WRITE_JITTER_PER_HOST_MS);
+        let jitter_ms = hash::stable(shared.settings.host.as_bytes(), seed) % max_jitter_ms;
         time::sleep(Duration::from_millis(jitter_ms)).await;
         for subject in unwritten(&shared) {
             if let Err(fault) = write(&shared, subject).await {
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -35,7 +35,7 @@
 }
 
 /// The id of a subject as it stands in the lines of dispatches.
-fn subject_id(subject: Subject) -> String {
+pub fn subject_id(subject: Subject) -> String {
     match subject {
         Subject::Request(fingerprint) => format!("{fingerprint:032x}"),
         Subject::Part(id) => format!("{id:x}"),
