--- a/crates/daemon/tests/crashing_request.rs
+++ b/crates/daemon/tests/crashing_request.rs
@@ -349,6 +349,8 @@
             ))
         })
         .collect();
+    let blames_part = |host: &Host| host.logged("blamed=dead blamed_kind=part") > 0;
+    assert!(site.hosts.iter().all(blames_part), "named in the log");
     assert_eq!(sound, [200; 20], "sound requests with the first parts");
     assert!(
         late + later <= MAX_LATE_DISPATCHES,
--- a/crates/suspect/src/evidence.rs
+++ b/crates/suspect/src/evidence.rs
@@ -74,6 +74,13 @@
         marks.filter(|mark| mark.tried && !mark.cleared).count() >= TRIALS_UNTIL_REFUSED
     }
 
+    /// The only crash, if nothing else is known of the subject.
+    pub(crate) fn only_crash(&self) -> Option<&Crash> {
+        let (crash, mark) = self.crashes.first_key_value()?;
+        let is_all = self.crashes.len() == 1 && *mark == Mark::default();
+        (is_all && self.completed.is_none()).then_some(crash)
+    }
+
     /// Whether there is no crash, cleared or not.
     pub(crate) fn is_empty(&self) -> bool {
         self.crashes.is_empty()
@@ -184,12 +191,7 @@
         let age_ms = |at: Time| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
         let messages = |has: fn(&Mark) -> bool| {
             let crashes = self.crashes.iter().filter(move |(_, mark)| has(mark));
-            crashes
-                .map(|(crash, _)| CrashMessage {
-                    upstream: crash.upstream.to_string(),
-                    incarnation: crash.incarnation,
-                })
-                .collect()
+            crashes.map(|(crash, _)| crash.into()).collect()
         };
         Suspicion {
             fingerprint: subject.id().to_le_bytes().to_vec().into(),
@@ -227,6 +229,15 @@
     }
 }
 
+impl From<&Crash> for CrashMessage {
+    fn from(crash: &Crash) -> Self {
+        Self {
+            upstream: crash.upstream.to_string(),
+            incarnation: crash.incarnation,
+        }
+    }
+}
+
 impl From<CrashMessage> for Crash {
     fn from(message: CrashMessage) -> Self {
         Self {
--- a/crates/suspect/src/gossip.rs
+++ b/crates/suspect/src/gossip.rs
@@ -4,9 +4,12 @@
 //! rounds that grows with the logarithm of their number. What is lost on the way, or missed by
 //! a host that was cut off or has just started, is found by comparing digests.
 
-use crate::{subject::Subject, suspects::Suspects};
+use crate::{group, subject::Subject, suspects::Suspects};
 use mulberryrack_core::Time;
-use mulberryrack_wire::{plan, route::Suspicion};
+use mulberryrack_wire::{
+    plan,
+    route::{CrashGroup, Suspicion},
+};
 use prost::Message as _;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -65,8 +68,11 @@
             return (Vec::new(), Vec::new());
         }
         let news = std::mem::take(&mut self.news).into_iter();
-        let suspicions = news.filter_map(|subject| suspects.export(now, subject));
-        let messages = self.pack(suspicions.collect());
+        let (groups, others) = group::group(now, suspects, news);
+        let suspicions = others
+            .into_iter()
+            .filter_map(|subject| suspects.export(now, subject));
+        let messages = self.pack(groups, suspicions.collect());
         (self.choose_peers(peer_count), messages)
     }
 
@@ -84,9 +90,9 @@
     pub fn compare(&mut self, suspects: &Suspects, peer_count: usize) -> (Vec<usize>, Message) {
         let message = Message {
             host: self.host.clone(),
-            suspicions: Vec::new(),
             digest: Some(suspects.digest()),
             compare: true,
+            ..Message::default()
         };
         if self.first_comparisons < FIRST_COMPARISONS && peer_count > 0 {
             self.first_comparisons += 1;
@@ -104,7 +110,8 @@
         suspects: &mut Suspects,
         message: Message,
     ) -> (Vec<Subject>, Vec<Message>) {
-        let news = suspects.learn(now, message.suspicions);
+        let groups = message.groups.into_iter().flat_map(group::decode);
+        let news = suspects.learn(now, message.suspicions.into_iter().chain(groups).collect());
         self.add(news.iter().copied());
         let differs = |digest: u64| digest != suspects.digest();
         if !message.digest.is_some_and(differs) {
@@ -133,27 +140,48 @@
         }
         let known = subjects.into_iter();
         let suspicions = known.filter_map(|subject| suspects.export(now, subject));
-        let mut messages = self.pack(suspicions.collect());
+        let mut messages = self.pack(Vec::new(), suspicions.collect());
         messages.truncate(MAX_ANSWER_MESSAGES);
         messages
     }
 
     /// Distributes evidence over messages of at most [`MAX_MESSAGE_BYTES`].
-    fn pack(&self, suspicions: Vec<Suspicion>) -> Vec<Message> {
-        let mut messages: Vec<Message> = Vec::new();
-        let mut size = MAX_MESSAGE_BYTES;
+    fn pack(&self, groups: Vec<CrashGroup>, suspicions: Vec<Suspicion>) -> Vec<Message> {
+        let mut packing = Packing {
+            host: &self.host,
+            size: 0,
+            messages: Vec::new(),
+        };
+        for group in groups {
+            packing.message(group.encoded_len()).groups.push(group);
+        }
         for suspicion in suspicions {
-            size += suspicion.encoded_len();
-            if size > MAX_MESSAGE_BYTES {
-                size = suspicion.encoded_len();
-                messages.push(Message {
-                    host: self.host.clone(),
-                    ..Message::default()
-                });
-            }
-            let last = messages.last_mut().expect("pushed for the first one");
-            last.suspicions.push(suspicion);
+            let message = packing.message(suspicion.encoded_len());
+            message.suspicions.push(suspicion);
         }
-        messages
+        packing.messages
+    }
+}
+
+/// Messages that are filled one after the other.
+struct Packing<'a> {
+    host: &'a str,
+    /// Size of the evidence in the last message.
+    size: usize,
+    messages: Vec<Message>,
+}
+
+impl Packing<'_> {
+    /// The message for the next piece of evidence, of `size` bytes.
+    fn message(&mut self, size: usize) -> &mut Message {
+        self.size += size;
+        if self.messages.is_empty() || self.size > MAX_MESSAGE_BYTES {
+            self.size = size;
+            self.messages.push(Message {
+                host: self.host.to_owned(),
+                ..Message::default()
+            });
+        }
+        self.messages.last_mut().expect("there is one")
     }
 }
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod evidence;
 mod gossip;
+mod group;
 mod permits;
 mod subject;
 mod suspects;
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -71,6 +71,17 @@
         evidence.into_iter().flat_map(Evidence::counting)
     }
 
+    /// The only crash of a subject, if nothing else is known of it.
+    pub(crate) fn only_crash(&self, subject: Subject) -> Option<&Crash> {
+        self.merged.get(&subject)?.only_crash()
+    }
+
+    /// Time since the evidence on a subject last changed.
+    pub(crate) fn age(&self, subject: Subject, now: Time) -> Option<Duration> {
+        let evidence = self.merged.get(&subject)?;
+        Some(now.since(evidence.changed))
+    }
+
     /// Hash of what is known of a subject's crashes. It changes with each piece of news.
     pub(crate) fn subject_digest(&self, subject: Subject) -> u64 {
         let evidence = self.merged.get(&subject);
--- a/crates/suspect/tests/gossip.rs
+++ b/crates/suspect/tests/gossip.rs
@@ -1,7 +1,7 @@
 //! How evidence spreads over many hosts by datagrams that may be lost, in virtual time.
 
 use mulberryrack_core::Time;
-use mulberryrack_suspect::{Crash, Gossip, Limits, Message, Suspects};
+use mulberryrack_suspect::{Crash, Gossip, Limits, Message, Subject, Suspects};
 use prost::Message as _;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -182,3 +182,30 @@
     // A tenth of 9 KB/s, if engines crash as often as hosts restart: one each 29 s.
     assert!(bytes < 29 * 900, "{bytes} bytes a host");
 }
+
+#[test]
+fn parts_that_come_once_cost_a_host_a_fraction_of_its_control_traffic() {
+    let count = 1_400;
+    let mut fleet = Fleet::new(count, 0.0);
+    let crash = Crash {
+        upstream: "i-0123456789".into(),
+        incarnation: 1_700_000_000_000,
+    };
+    // An engine with 64 requests, each of another host and with a part that all have, one of
+    // eight, and one that comes once.
+    for number in 0..64_u128 {
+        let host = &mut fleet.hosts[usize::try_from(number).expect("a small number") * 20];
+        let subjects = [
+            Subject::Request(number),
+            Subject::Part(1),
+            Subject::Part(100 + number % 8),
+            Subject::Part(1_000 + number),
+        ];
+        host.suspects.record_crash(fleet.now, &crash, subjects);
+        host.gossip.add(subjects);
+    }
+    fleet.run_for(CONTACT);
+    let bytes = fleet.sent_bytes / count;
+    println!("{bytes} bytes a host");
+    assert!(bytes < 29 * 900, "{bytes} bytes a host");
+}
