Suspect: one judgement for all that is learned at once

Each part that had completed before a crash was judged by itself: 64 times 16 ms at the limit of 1,024 requests and 1,024 parts.

--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -331,11 +331,12 @@
         for it in in_flight.iter().filter(|it| !it.tried.is_empty()) {
             self.suspects.record_trial(now, &crash, &it.tried);
         }
-        for part in subjects.iter().filter(|subject| subject.is_part()) {
-            if let Some(at) = self.completions.recent(now, *part) {
-                self.suspects.record_completion(*part, at);
-            }
-        }
+        let parts = subjects.iter().filter(|subject| subject.is_part());
+        let completions = parts.filter_map(|part| {
+            let at = self.completions.recent(now, *part)?;
+            Some((*part, at))
+        });
+        self.suspects.record_completions(completions);
         self.report(crash, Some(sign), subjects);
     }
 
@@ -411,30 +412,28 @@
         }
         for subject in &*request.subjects {
             self.completions.record(now, *subject);
-            self.clear(now, *subject);
-        }
-    }
-
-    fn clear(&mut self, now: Time, subject: Subject) {
-        if self.suspects.is_suspect(subject) {
-            self.suspects.clear(now, subject);
-            self.suspect_changes.push(subject);
         }
+        let cleared = self
+            .suspects
+            .clear_all(now, request.subjects.iter().copied());
+        self.suspect_changes.extend(cleared);
     }
 
     /// Applies to subjects, on which another host has told of crashes, that they have recently run
     /// to their end here. A part may have begun to crash upstreams since.
     pub fn clear_completed(&mut self, now: Time, subjects: &[Subject]) {
-        for subject in subjects {
-            let Some(at) = self.completions.recent(now, *subject) else {
-                continue;
-            };
-            if !subject.is_part() {
-                self.clear(now, *subject);
-            } else if self.suspects.record_completion(*subject, at) {
-                self.suspect_changes.push(*subject);
-            }
-        }
+        let completed = |subject: &Subject| {
+            let at = self.completions.recent(now, *subject)?;
+            Some((*subject, at))
+        };
+        let completed = subjects.iter().filter_map(completed);
+        let (parts, requests): (Vec<_>, Vec<_>) =
+            completed.partition(|(subject, _)| subject.is_part());
+        let requests = requests.into_iter().map(|(request, _)| request);
+        self.suspect_changes
+            .extend(self.suspects.clear_all(now, requests));
+        self.suspect_changes
+            .extend(self.suspects.record_completions(parts));
     }
 
     /// Sets the names of all hosts, and which of them is this one.
--- a/crates/gate/tests/crash_model.rs
+++ b/crates/gate/tests/crash_model.rs
@@ -23,8 +23,9 @@
 /// Interval of the rounds of datagrams and of the comparisons.
 const ROUND: Duration = Duration::from_millis(100);
 const COMPARISON: Duration = Duration::from_secs(1);
-/// Length of a run.
+/// Length of most days, and of a long one: longer than evidence on other suspects is kept twice.
 const LENGTH: Duration = Duration::from_secs(30);
+const LONG: Duration = Duration::from_secs(1_300);
 /// Time from the start of the crashing request at an engine to the crash.
 const TIME_TO_CRASH: Duration = Duration::from_millis(20);
 /// Time until a crashed engine starts again.
@@ -128,6 +129,7 @@
     loss: f64,
     /// Whether hosts are replaced.
     replaces_hosts: bool,
+    length: Duration,
 }
 
 struct Model {
@@ -217,7 +219,7 @@
     }
 
     fn play(mut self) -> Outcome {
-        let end = self.now + LENGTH;
+        let end = self.now + self.day.length;
         let mut tick = Duration::ZERO;
         while self.now < end {
             self.now = self.now + STEP;
@@ -546,6 +548,7 @@
             has_more_parts: false,
             loss: 0.0,
             replaces_hosts: false,
+            length: LENGTH,
         };
         for seed in 0..seed_count(seeds) {
             let outcome = check(seed, day);
@@ -583,6 +586,7 @@
             has_more_parts: true,
             loss,
             replaces_hosts,
+            length: LENGTH,
         };
         for seed in 0..seed_count(seeds) {
             let outcome = check(seed, day);
@@ -607,6 +611,21 @@
     play_part(0, 4.0, 0.1, true);
 }
 
+#[test]
+fn a_crashing_part_stays_refused_for_as_long_as_it_comes() {
+    let day = Day {
+        host_count: 8,
+        engine_count: 12,
+        culprits: 0,
+        with_part_per_s: 0.5,
+        has_more_parts: true,
+        loss: 0.1,
+        replaces_hosts: true,
+        length: LONG,
+    };
+    check(1, day);
+}
+
 #[test]
 fn a_crashing_part_beside_crashing_requests_is_refused() {
     play_part(2, 4.0, 0.1, false);
--- a/crates/suspect/examples/cost.rs
+++ b/crates/suspect/examples/cost.rs
@@ -4,10 +4,11 @@
 //! `cargo run --release -p mulberryrack-suspect --example cost`
 
 use mulberryrack_core::Time;
-use mulberryrack_suspect::{Crash, Limits, Suspects};
+use mulberryrack_suspect::{Crash, Limits, Subject, Suspects};
 use std::{
     fs,
     hint::black_box,
+    ops::Range,
     time::{Duration, Instant},
 };
 
@@ -27,8 +28,8 @@
     }
 }
 
-/// Evidence on `count` fingerprints, each in flight on `crashes` crashes, in groups of
-/// [`IN_FLIGHT`] that cannot be told apart.
+/// Evidence on `count` fingerprints, and as many parts that come once, each in flight on `crashes`
+/// crashes, in groups of [`IN_FLIGHT`] that cannot be told apart.
 fn filled(count: u128, crashes: u64) -> Suspects {
     let mut suspects = Suspects::new(LIMITS);
     for group in 0..count.div_ceil(IN_FLIGHT) {
@@ -36,12 +37,18 @@
             let first = group * IN_FLIGHT;
             let group = u64::try_from(group).expect("a small number");
             let last = (first + IN_FLIGHT).min(count);
-            suspects.record_crash(NOW, &crash(group * crashes + number), first..last);
+            let crash = crash(group * crashes + number);
+            suspects.record_crash(NOW, &crash, subjects(first..last));
         }
     }
     suspects
 }
 
+/// Requests with these fingerprints, each with a part of its own.
+fn subjects(requests: Range<u128>) -> impl Iterator<Item = Subject> {
+    requests.flat_map(|number| [Subject::Request(number), Subject::Part(number)])
+}
+
 fn resident_kb() -> u64 {
     let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
@@ -62,7 +69,7 @@
     let memory = resident_kb().saturating_sub(before);
     let told = suspects.own(NOW).suspicions;
     let lookup = micros(100_000, || {
-        black_box(suspects.is_refused(black_box(7)));
+        black_box(suspects.is_refused(black_box(Subject::Part(7))));
     });
     let digest = micros(100, || {
         black_box(suspects.digest());
@@ -75,7 +82,7 @@
     let mut number = 1_000_000;
     let record = micros(20, || {
         number += 1;
-        suspects.record_crash(NOW, &crash(number), 0..IN_FLIGHT.min(count));
+        suspects.record_crash(NOW, &crash(number), subjects(0..IN_FLIGHT.min(count)));
     });
     println!(
         "suspects={count} crashes={crashes} memory_kb={memory} lookup_us={lookup:.3} \
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -192,34 +192,54 @@
         self.judge();
     }
 
-    /// Records that a request with a part ran to its end at some time, also before the crashes
-    /// that count against the part. Returns whether that is news.
-    pub fn record_completion(&mut self, part: Subject, at: Time) -> bool {
-        let Some(evidence) = self.merged.get_mut(&part) else {
-            return false;
-        };
-        let is_news = evidence.complete(at);
-        if is_news {
+    /// Records that requests with these parts ran to their ends at some times, also before the
+    /// crashes that count against the parts. Returns the parts of which that is news.
+    pub fn record_completions(
+        &mut self,
+        completions: impl IntoIterator<Item = (Subject, Time)>,
+    ) -> Vec<Subject> {
+        let mut news = Vec::new();
+        for (part, at) in completions {
+            let evidence = self.merged.get_mut(&part);
+            if evidence.is_some_and(|evidence| evidence.complete(at)) {
+                news.push(part);
+            }
+        }
+        if !news.is_empty() {
             self.judge();
         }
-        is_news
+        news
     }
 
     /// Clears a subject, after a run to its end, of the crashes that count against it.
     pub fn clear(&mut self, now: Time, subject: impl Into<Subject>) {
-        let subject = subject.into();
-        let crashes: Vec<_> = self.crashes(subject).cloned().collect();
-        if crashes.is_empty() {
-            return;
-        }
-        for map in [&mut self.own, &mut self.merged] {
-            let evidence = entry(map, subject, now);
-            evidence.clear(now, crashes.iter().cloned());
-            if subject.is_part() {
-                evidence.complete(now);
+        self.clear_all(now, [subject]);
+    }
+
+    /// Clears subjects, after runs to their ends, of the crashes that count against them. Returns
+    /// those with such crashes.
+    pub fn clear_all(
+        &mut self,
+        now: Time,
+        subjects: impl IntoIterator<Item = impl Into<Subject>>,
+    ) -> Vec<Subject> {
+        let subjects = subjects.into_iter().map(Into::into);
+        let suspects = subjects.filter(|subject| self.is_suspect(*subject));
+        let suspects: Vec<Subject> = suspects.collect();
+        for subject in &suspects {
+            let crashes: Vec<_> = self.crashes(*subject).cloned().collect();
+            for map in [&mut self.own, &mut self.merged] {
+                let evidence = entry(map, *subject, now);
+                evidence.clear(now, crashes.iter().cloned());
+                if subject.is_part() {
+                    evidence.complete(now);
+                }
             }
         }
-        self.judge();
+        if !suspects.is_empty() {
+            self.judge();
+        }
+        suspects
     }
 
     /// Withdraws a crash that this host reported, as the upstream was found to be alive.
--- a/crates/suspect/src/verdict.rs
+++ b/crates/suspect/src/verdict.rs
@@ -85,6 +85,20 @@
 /// By subject, the crashes that count against it and that no refused subject explains.
 type Open<'a> = BTreeMap<Subject, BTreeSet<&'a Crash>>;
 
+/// The sets of crashes in which a crash is.
+type ByCrash<'a, 'b> = BTreeMap<&'a Crash, Vec<(Subject, &'b BTreeSet<&'a Crash>)>>;
+
+fn by_crash<'a, 'b>(open: &'b Open<'a>) -> ByCrash<'a, 'b> {
+    let mut by_crash = ByCrash::new();
+    for (subject, crashes) in open {
+        for crash in crashes {
+            let sets = by_crash.entry(*crash).or_default();
+            sets.push((*subject, crashes));
+        }
+    }
+    by_crash
+}
+
 /// Judges all subjects.
 /// `crashes_until_refused` are the crashes after which a request is refused, whatever else was
 /// in flight on them.
@@ -191,8 +205,9 @@
         explained.extend(parts.remove(&part).expect("a part"));
     }
     drop_explained(&mut parts, &explained);
+    let (requests, beside) = (by_crash(requests), by_crash(&parts));
     for (part, crashes) in &parts {
-        let verdict = if is_covered(crashes, requests) {
+        let verdict = if is_covered(crashes, &requests) {
             Some(Verdict::Suspect)
         } else {
             open_part_verdict(crashes.len(), evidence[part].completed().is_some())
@@ -201,10 +216,8 @@
             .verdicts
             .extend(verdict.map(|verdict| (*part, verdict)));
         if verdict == Some(Verdict::Contested) {
-            let others = parts.iter().filter(|(other, _)| *other != part);
-            let rivals = others.filter(|(_, beside)| is_rival(crashes, beside));
             let contest = Contest {
-                rivals: rivals.map(|(rival, _)| *rival).collect(),
+                rivals: rivals(*part, crashes, &beside),
                 was_tried: evidence[part].trials(crashes) >= TRIALS_UNTIL_REFUSED,
             };
             judgement.contests.insert(*part, contest);
@@ -212,6 +225,16 @@
     }
 }
 
+/// The parts that may be the cause of a part's crashes instead. Each was in flight on one of the
+/// first two, as only one may have had another cause.
+fn rivals(part: Subject, crashes: &BTreeSet<&Crash>, beside: &ByCrash<'_, '_>) -> Vec<Subject> {
+    let first = crashes.iter().take(2);
+    let candidates = first.flat_map(|crash| beside.get(crash).into_iter().flatten());
+    let rivals = candidates.filter(|(other, beside)| *other != part && is_rival(crashes, beside));
+    let rivals: BTreeSet<Subject> = rivals.map(|(rival, _)| *rival).collect();
+    rivals.into_iter().collect()
+}
+
 /// Whether a part in flight on the crashes `beside` may be the cause of `crashes`, but for one that
 /// may have had another cause.
 fn is_rival(crashes: &BTreeSet<&Crash>, beside: &BTreeSet<&Crash>) -> bool {
@@ -255,11 +278,16 @@
 
 /// Whether a single request was in flight on all of the crashes of a part, and on several: it is
 /// the narrower explanation.
-fn is_covered(crashes: &BTreeSet<&Crash>, requests: &Open<'_>) -> bool {
-    crashes.len() >= CRASHES_IF_ALONE
-        && requests
-            .values()
-            .any(|request| request.is_superset(crashes))
+fn is_covered(crashes: &BTreeSet<&Crash>, requests: &ByCrash<'_, '_>) -> bool {
+    let first = crashes
+        .first()
+        .filter(|_| crashes.len() >= CRASHES_IF_ALONE);
+    let mut requests = first.into_iter().filter_map(|first| requests.get(first));
+    requests.any(|requests| {
+        requests
+            .iter()
+            .any(|(_, request)| request.is_superset(crashes))
+    })
 }
 
 const fn open_part_verdict(crashes: usize, is_proven: bool) -> Option<Verdict> {
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -83,7 +83,7 @@
 #[test]
 fn a_part_with_which_requests_run_to_their_end_is_neither_refused_nor_tried() {
     let mut suspects = after(4, &[SHARED, CULPRIT]);
-    suspects.record_completion(SHARED, NOW);
+    suspects.record_completions([(SHARED, NOW)]);
     tried(&mut suspects, &[2, 3], &[SHARED, CULPRIT]);
     assert!(suspects.is_refused(CULPRIT));
     assert_eq!(suspects.verdict(SHARED), None);
@@ -92,7 +92,7 @@
 #[test]
 fn a_part_that_begins_to_crash_upstreams_is_refused_although_it_was_sound() {
     let mut suspects = after(5, &[CULPRIT]);
-    suspects.record_completion(CULPRIT, NOW);
+    suspects.record_completions([(CULPRIT, NOW)]);
     tried(&mut suspects, &[3, 4], &[CULPRIT]);
     assert!(suspects.is_refused(CULPRIT));
 }
@@ -206,7 +206,7 @@
 #[test]
 fn what_is_told_of_a_part_includes_trials_and_complete_runs() {
     let mut there = after(4, &[SHARED, CULPRIT]);
-    there.record_completion(SHARED, NOW);
+    there.record_completions([(SHARED, NOW)]);
     tried(&mut there, &[2, 3], &[CULPRIT]);
     let mut here = Suspects::new(LIMITS);
     here.learn(NOW, there.own(NOW).suspicions);
