Suspect: hosts come to agree on more crashes than they keep

Evidence: 69,000 lines request-suspected and 22,700 verdict-changed in 4 s, nearly all on four parts, each of whose verdicts came back thousands of times.

Cause: at most eight crashes are kept of a subject. A run to its end marked those as cleared, and the marks were the first to be dropped; another host told of the same crash again, and it counted again. Merging what hosts know had no end.

Change: a run to its end is kept as a time, before which no crash counts, and crashes bear the time when the subject was last in flight on them. Times merge by the latest and the earliest; the earliest crashes are dropped first, which are also those that a run ends. A crash that is noticed late counts from when its dispatch broke. The time of a completed run that was known before the crash was counts as well.

The property of the order of evidence now lets time pass between two events, as two never share a microsecond at one host, and a second one plays more crashes than are kept.

--- a/crates/gate/src/crash.rs
+++ b/crates/gate/src/crash.rs
@@ -15,7 +15,11 @@
 use mulberryrack_core::{Name, Time, hash};
 use mulberryrack_site::Upstream;
 use mulberryrack_suspect::{Crash, Subject, Suspects};
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 /// Time before the end of an upstream is noticed in which a broken dispatch counts as in
 /// flight on the crash. An engine that crashed starts again within it.
@@ -49,6 +53,8 @@
 /// What was in flight with a dispatch.
 #[derive(Clone, Debug)]
 struct InFlight {
+    /// When the dispatch broke, or was found to have.
+    at: Time,
     subjects: Arc<[Subject]>,
     /// The parts that were on trial with it.
     tried: Vec<Subject>,
@@ -57,7 +63,6 @@
 /// A dispatch that broke or fell silent while its upstream was ready.
 #[derive(Clone, Debug)]
 struct BrokenDispatch {
-    at: Time,
     in_flight: InFlight,
     /// Whether an upstream under the same name has answered since. If that was a later
     /// incarnation, its registration will show it.
@@ -96,11 +101,10 @@
 
     fn add_broken(&mut self, now: Time, in_flight: InFlight) {
         self.broken.push_back(BrokenDispatch {
-            at: now,
             in_flight,
             answered_since: false,
         });
-        let expired = |broken: &BrokenDispatch| now.since(broken.at) > CRASH_WINDOW;
+        let expired = |broken: &BrokenDispatch| now.since(broken.in_flight.at) > CRASH_WINDOW;
         while self.broken.front().is_some_and(expired) || self.broken.len() > MAX_BROKEN {
             self.broken.pop_front();
         }
@@ -108,7 +112,7 @@
 
     /// Broken dispatches that would count if the upstream were found to have ended.
     fn unexplained(&self, now: Time) -> impl Iterator<Item = &BrokenDispatch> {
-        let recent = move |broken: &&BrokenDispatch| now.since(broken.at) <= CRASH_WINDOW;
+        let recent = move |broken: &&BrokenDispatch| now.since(broken.in_flight.at) <= CRASH_WINDOW;
         let broken = self.broken.iter().filter(recent);
         broken.filter(|broken| !broken.answered_since)
     }
@@ -124,7 +128,8 @@
     fn take_broken(&mut self, now: Time, sign: CrashSign) -> Vec<InFlight> {
         let under_same_name = sign == CrashSign::Restarted;
         let counts = |broken: &BrokenDispatch| {
-            now.since(broken.at) <= CRASH_WINDOW && (under_same_name || !broken.answered_since)
+            let is_recent = now.since(broken.in_flight.at) <= CRASH_WINDOW;
+            is_recent && (under_same_name || !broken.answered_since)
         };
         let broken = std::mem::take(&mut self.broken);
         let counting = broken.into_iter().filter(counts);
@@ -231,7 +236,7 @@
 
     fn record_alive(&mut self, now: Time, id: UpstreamId, asked: Time) {
         let upstream = self.upstreams.get_mut(id);
-        let before = |broken: &&mut BrokenDispatch| broken.at <= asked;
+        let before = |broken: &&mut BrokenDispatch| broken.in_flight.at <= asked;
         for broken in upstream.crash.broken.iter_mut().filter(before) {
             broken.answered_since = true;
         }
@@ -315,19 +320,24 @@
     }
 
     fn record_crash(&mut self, now: Time, crash: Crash, sign: CrashSign, in_flight: &[InFlight]) {
-        let subjects = in_flight.iter().flat_map(|it| it.subjects.to_vec());
-        let mut subjects: Vec<Subject> = subjects.collect();
-        subjects.sort_unstable();
-        subjects.dedup();
+        // A subject counts from when it was last in flight: runs to its end may have followed before
+        // the crash was noticed.
+        let mut last: BTreeMap<Subject, Time> = BTreeMap::new();
+        for it in in_flight {
+            for subject in &*it.subjects {
+                let at = last.entry(*subject).or_insert(it.at);
+                *at = it.at.max(*at);
+            }
+        }
         // A part is recorded all the same: it may have begun to crash upstreams since.
-        subjects.retain(|subject| {
+        last.retain(|subject, _| {
             subject.is_part() || self.completions.recent(now, *subject).is_none()
         });
-        if subjects.is_empty() {
+        if last.is_empty() {
             return;
         }
-        self.suspects
-            .record_crash(now, &crash, subjects.iter().copied());
+        let subjects: Vec<Subject> = last.keys().copied().collect();
+        self.suspects.record_past_crash(now, &crash, last);
         for it in in_flight.iter().filter(|it| !it.tried.is_empty()) {
             self.suspects.record_trial(now, &crash, &it.tried);
         }
@@ -383,6 +393,7 @@
 
     fn record_broken(&mut self, now: Time, id: UpstreamId, request: &mut RequestState) {
         let in_flight = InFlight {
+            at: now,
             subjects: request.subjects.clone(),
             tried: self.break_trial(request),
         };
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -175,7 +175,24 @@
     ) {
         for subject in subjects.into_iter().map(Into::into) {
             for map in [&mut self.own, &mut self.merged] {
-                entry(map, subject, now).add(now, crash.clone());
+                entry(map, subject, now).add_latest(now, crash.clone());
+            }
+        }
+        self.expire(now);
+        self.judge();
+    }
+
+    /// Records a crash that this host saw, with the subjects that were in flight on it and when each
+    /// of them last was.
+    pub fn record_past_crash(
+        &mut self,
+        now: Time,
+        crash: &Crash,
+        in_flight: impl IntoIterator<Item = (Subject, Time)>,
+    ) {
+        for (subject, at) in in_flight {
+            for map in [&mut self.own, &mut self.merged] {
+                entry(map, subject, now).add(now, at, crash.clone());
             }
         }
         self.expire(now);
@@ -193,15 +210,19 @@
     }
 
     /// Records that requests with these parts ran to their ends at some times, also before the
-    /// crashes that count against the parts. Returns the parts of which that is news.
+    /// crashes that count against the parts; those before such a run do not count any more. Returns
+    /// the parts of which that is news.
     pub fn record_completions(
         &mut self,
         completions: impl IntoIterator<Item = (Subject, Time)>,
     ) -> Vec<Subject> {
         let mut news = Vec::new();
         for (part, at) in completions {
-            let evidence = self.merged.get_mut(&part);
-            if evidence.is_some_and(|evidence| evidence.complete(at)) {
+            let Some(evidence) = self.merged.get_mut(&part) else {
+                continue;
+            };
+            let is_cleared = evidence.acquit_before(at);
+            if evidence.complete(at) || is_cleared {
                 news.push(part);
             }
         }
@@ -227,10 +248,9 @@
         let suspects = subjects.filter(|subject| self.is_suspect(*subject));
         let suspects: Vec<Subject> = suspects.collect();
         for subject in &suspects {
-            let crashes: Vec<_> = self.crashes(*subject).cloned().collect();
             for map in [&mut self.own, &mut self.merged] {
                 let evidence = entry(map, *subject, now);
-                evidence.clear(now, crashes.iter().cloned());
+                evidence.acquit(now, now);
                 if subject.is_part() {
                     evidence.complete(now);
                 }
@@ -252,7 +272,7 @@
         let concerned: Vec<Subject> = concerned.map(|(subject, _)| *subject).collect();
         for subject in &concerned {
             for map in [&mut self.own, &mut self.merged] {
-                entry(map, *subject, now).clear(now, [crash.clone()]);
+                entry(map, *subject, now).withdraw(now, crash.clone());
             }
         }
         self.judge();
@@ -335,7 +355,8 @@
     #[must_use]
     pub fn digest(&self) -> u64 {
         let mut digest = 0;
-        for (subject, evidence) in &self.merged {
+        let with_crashes = self.merged.iter().filter(|(_, it)| it.has_crashes());
+        for (subject, evidence) in with_crashes {
             digest = hash::stable(&subject.id().to_le_bytes(), digest);
             digest = evidence.digest(digest ^ u64::from(evidence.completed().is_some()));
         }
--- a/crates/suspect/tests/gossip.rs
+++ b/crates/suspect/tests/gossip.rs
@@ -35,6 +35,8 @@
     /// Hosts that are cut off from the others.
     cut: Vec<usize>,
     sent_bytes: usize,
+    /// Rounds so far.
+    round: u32,
 }
 
 fn host(index: usize) -> Host {
@@ -53,6 +55,7 @@
             loss,
             cut: Vec::new(),
             sent_bytes: 0,
+            round: 0,
         }
     }
 
@@ -83,17 +86,18 @@
 
     fn run_for(&mut self, span: Duration) {
         let until = self.now + span;
-        let mut round = 0;
         while self.now < until {
             self.now = self.now + ROUND;
-            round += 1;
+            self.round += 1;
             let peers = self.hosts.len() - 1;
             for from in 0..self.hosts.len() {
                 let other = |peer: usize| if peer < from { peer } else { peer + 1 };
                 let Host { suspects, gossip } = &mut self.hosts[from];
                 let (targets, messages) = gossip.round(self.now, suspects, peers);
-                let compared =
-                    (round % ROUNDS_PER_COMPARISON == 0).then(|| gossip.compare(suspects, peers));
+                let compared = self
+                    .round
+                    .is_multiple_of(ROUNDS_PER_COMPARISON)
+                    .then(|| gossip.compare(suspects, peers));
                 for target in targets {
                     for message in &messages {
                         self.deliver(from, other(target), message.clone());
@@ -209,3 +213,45 @@
     println!("{bytes} bytes a host");
     assert!(bytes < 29 * 900, "{bytes} bytes a host");
 }
+
+#[test]
+fn evidence_on_many_crashes_at_once_settles_while_a_sound_part_is_asked_for() {
+    const PART: Subject = Subject::Part(CULPRIT);
+    for count in [8, 86, 300] {
+        let mut fleet = Fleet::new(count, 0.03);
+        // A quarter of 160 engines crash, each with requests of eight hosts that share a part.
+        for number in 0..40 {
+            let crash = Crash {
+                upstream: format!("i-{number:010x}").into(),
+                incarnation: 1_000_000 + number,
+            };
+            for index in 0..8 {
+                let host = (usize::try_from(number).expect("a small number") * 7 + index) % count;
+                let request = Subject::Request(u128::from(number) * 8 + index as u128);
+                let Host { suspects, gossip } = &mut fleet.hosts[host];
+                suspects.record_crash(fleet.now, &crash, [PART, request]);
+                gossip.add([PART, request]);
+            }
+        }
+        // Each host sees three requests a second with the part run to their end.
+        let run_rounds = |fleet: &mut Fleet, rounds: u32| {
+            for _ in 0..rounds {
+                fleet.run_for(ROUND);
+                for index in 0..count {
+                    let Host { suspects, gossip } = &mut fleet.hosts[index];
+                    if fleet.rng.random_bool(0.3) {
+                        gossip.add(suspects.clear_all(fleet.now, [PART]));
+                    }
+                }
+            }
+        };
+        run_rounds(&mut fleet, 30);
+        fleet.sent_bytes = 0;
+        run_rounds(&mut fleet, 10);
+        let blamed = fleet.hosts.iter().filter(|it| it.suspects.is_suspect(PART));
+        assert_eq!(blamed.count(), 0, "of {count} hosts");
+        // `hosts_that_agree_send_only_digests`: 32 bytes a second each.
+        let bytes = fleet.sent_bytes / count;
+        assert!(bytes <= 32, "{count} hosts: {bytes} bytes each in a second");
+    }
+}
--- a/crates/suspect/tests/suspects.rs
+++ b/crates/suspect/tests/suspects.rs
@@ -142,32 +142,71 @@
     assert_eq!(suspects.subjects().count(), LIMITS.max_suspects * 2);
 }
 
+/// Four hosts with evidence of their own on up to `crashes` crashes, and the time after them.
+fn hosts_with_evidence(rng: &mut ChaCha8Rng, crashes: u64) -> (Vec<Suspects>, Time) {
+    let mut hosts: Vec<Suspects> = (0..4).map(|_| suspects()).collect();
+    let mut now = NOW;
+    for number in 0..rng.random_range(1..crashes) {
+        now = now + Duration::from_millis(1);
+        let fingerprints = (0..rng.random_range(1..4)).map(|_| rng.random_range(0..6));
+        let fingerprints: Vec<u128> = fingerprints.collect();
+        let host = rng.random_range(0..hosts.len());
+        hosts[host].record_crash(now, &crash(number), fingerprints);
+        if rng.random_bool(0.2) {
+            let fingerprint = rng.random_range(0..6);
+            hosts[host].clear(now + Duration::from_micros(500), fingerprint);
+        }
+    }
+    (hosts, now + Duration::from_millis(1))
+}
+
+fn assert_agreed(hosts: &[Suspects], seed: u64) {
+    for host in hosts {
+        assert_eq!(host.digest(), hosts[0].digest(), "seed {seed}");
+        assert_eq!(refused(host), refused(&hosts[0]), "seed {seed}");
+    }
+}
+
 #[test]
 fn the_order_in_which_evidence_arrives_does_not_matter() {
     for seed in 0..200 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut hosts: Vec<Suspects> = (0..4).map(|_| suspects()).collect();
-        for number in 0..rng.random_range(1..12) {
-            let fingerprints = (0..rng.random_range(1..4)).map(|_| rng.random_range(0..6));
-            let fingerprints: Vec<u128> = fingerprints.collect();
-            let host = rng.random_range(0..hosts.len());
-            hosts[host].record_crash(NOW, &crash(number), fingerprints);
-            if rng.random_bool(0.2) {
-                let fingerprint = rng.random_range(0..6);
-                hosts[host].clear(NOW, fingerprint);
-            }
-        }
-        let mut told: Vec<_> = hosts.iter().map(|host| host.own(NOW).suspicions).collect();
+        let (mut hosts, now) = hosts_with_evidence(&mut rng, 12);
+        let mut told: Vec<_> = hosts.iter().map(|host| host.own(now).suspicions).collect();
         for host in &mut hosts {
             told.shuffle(&mut rng);
             for suspicions in &told {
-                host.learn(NOW, suspicions.clone());
+                host.learn(now, suspicions.clone());
             }
         }
-        for host in &hosts {
-            assert_eq!(host.digest(), hosts[0].digest(), "seed {seed}");
-            assert_eq!(refused(host), refused(&hosts[0]), "seed {seed}");
+        assert_agreed(&hosts, seed);
+    }
+}
+
+#[test]
+fn hosts_that_repeat_evidence_on_more_crashes_than_are_kept_have_no_news_in_the_end() {
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut hosts, mut now) = hosts_with_evidence(&mut rng, 60);
+        let withdrawn = rng.random_range(0..60);
+        for host in &mut hosts {
+            host.withdraw(now, &crash(withdrawn));
+        }
+        let mut news = 0;
+        for _ in 0..4 {
+            news = 0;
+            now = now + Duration::from_millis(1);
+            for from in 0..hosts.len() {
+                let subjects: Vec<Subject> = hosts[from].subjects().collect();
+                let told = |subject| hosts[from].export(now, subject);
+                let told: Vec<_> = subjects.into_iter().filter_map(told).collect();
+                for host in &mut hosts {
+                    news += host.learn(now, told.clone()).len();
+                }
+            }
         }
+        assert_eq!(news, 0, "seed {seed}");
+        assert_agreed(&hosts, seed);
     }
 }
 
