Edge: the log tells late threads, silent watches and listings

The hypotheses on requests to upstreams that leave could not be told apart: no line said that a watch was silent, how long a listing took or failed, or that a host's thread was behind with everything. Now thread-late and a histogram of the lateness, watch-silent, store-read, store-not-read, and by what upstream-gone was told.

--- a/crates/edge/src/eras.rs
+++ b/crates/edge/src/eras.rs
@@ -94,7 +94,7 @@
         (upstreams, mem::take(&mut unconfirmed.claim))
     };
     for name in &upstreams {
-        watch::deregister_upstream(shared, name);
+        watch::deregister_upstream(shared, name, "era");
     }
     if claim {
         shared.set_holder(None);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -6,7 +6,7 @@
     clock::Clock,
     endpoint,
     journal::journal,
-    lease_extension, membership,
+    lateness, lease_extension, membership,
     metrics::Metrics,
     notices, orders,
     peers::{self, PlannerLink},
@@ -164,6 +164,7 @@
     task::spawn_local(peers::report_demand(shared.clone(), link));
     task::spawn_local(lease_extension::run(shared.clone()));
     task::spawn_local(sweep_idle_connections(shared.clone()));
+    task::spawn_local(lateness::run(shared.clone()));
     let membership = task::spawn_local(membership::run(shared.clone()));
     journal!(
         info,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 //!   registrations, `membership` writes this host's own keys.
 //! - Engines: `orders` sends the planner's orders while this host holds the claim to give
 //!   orders; `lease_extension` extends the claim during an outage of the key-value service.
+//! - This host's own pace: `lateness` measures how late its thread is.
 //! - Other hosts: `peers` makes and serves calls, `notices` sends and receives datagrams.
 //! - Requests that crash upstreams: `crashes` finds out whether an upstream has ended,
 //!   `suspects` shares the evidence with the other hosts, `refusals` keeps the requests that
@@ -35,6 +36,7 @@
 pub mod framing;
 mod host;
 mod journal;
+mod lateness;
 mod lease_extension;
 mod membership;
 mod meter;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -81,6 +81,7 @@
     answer_bodies: Family<BodyLabels, Counter>,
     first_event_seconds: Histogram,
     request_seconds: Histogram,
+    lateness_seconds: Histogram,
     /// Number of admitted requests without a final answer.
     pub open_requests: Gauge,
     /// Version of the configuration in force.
@@ -183,6 +184,12 @@
                 "Arrival to end",
                 Histogram::new(buckets()),
             ),
+            lateness_seconds: registered(
+                &mut registry,
+                "thread_lateness_seconds",
+                "How late the host's thread was, four times a second",
+                Histogram::new(buckets()),
+            ),
             open_requests: gauge(&mut registry, "open_requests", "Requests without an end"),
             config_version: gauge(&mut registry, "config_version", "Configuration in force"),
             upstreams: gauge(&mut registry, "upstreams", "Upstreams that are listed"),
@@ -203,6 +210,11 @@
         self.first_event_seconds.observe(elapsed.as_secs_f64());
     }
 
+    /// Records how late the host's thread was.
+    pub fn record_lateness(&self, late: Duration) {
+        self.lateness_seconds.observe(late.as_secs_f64());
+    }
+
     /// Counts a dispatch that did not end with an answer for the caller, by the reason of
     /// the retry that it was; `none` for the first dispatch of a request.
     pub fn record_retry(&self, reason: &'static str) {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -16,7 +16,7 @@
 use mulberryrack_fleet::Fence;
 use mulberryrack_site::{Dialect, upstream::State};
 use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// Time after which the key-value service answers a watch without changes.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
@@ -93,6 +93,8 @@
 /// Lists all keys, applies them, and removes what no longer exists; in a new era only once it
 /// had the time to be written again. Returns the revision from which a watch must continue.
 async fn read_all<D: Dialect>(shared: &Rc<Shared<D>>, is_new_era: bool) -> Result<Revision, Fault> {
+    let begun = Instant::now();
+    let mut pages = 0;
     let mut after: Option<Arc<str>> = None;
     let mut start_revision: Option<Revision> = None;
     let mut seen = BTreeSet::new();
@@ -102,7 +104,18 @@
             after: after.clone(),
             limit: PAGE_LIMIT,
         };
-        let reply = shared.store.call(&op).await?;
+        let reply = shared.store.call(&op).await.inspect_err(|fault| {
+            let took_ms = begun.elapsed().as_millis();
+            let fault = format_args!("{fault:?}");
+            journal!(
+                warn,
+                "store-not-read",
+                pages = pages,
+                took_ms = took_ms,
+                fault = fault
+            );
+        })?;
+        pages += 1;
         let Reply::Entries {
             entries,
             more,
@@ -123,6 +136,14 @@
             remove_unlisted(shared, &seen, is_new_era);
             update_upstream_count(shared);
             shared.changed.notify_waiters();
+            journal!(
+                info,
+                "store-read",
+                keys = seen.len(),
+                pages = pages,
+                revision = start.0,
+                took_ms = begun.elapsed().as_millis(),
+            );
             return Ok(start);
         }
     }
@@ -157,7 +178,7 @@
         return;
     }
     for id in &upstreams {
-        deregister_upstream(shared, id);
+        deregister_upstream(shared, id, "list");
     }
     for name in &hosts {
         remove_host(shared, name);
@@ -175,7 +196,13 @@
         after,
         wait: WATCH_WAIT,
     };
-    let reply = shared.store.call(&op).await?;
+    let begun = Instant::now();
+    let reply = shared.store.call(&op).await.inspect_err(|_| {
+        if begun.elapsed() > WATCH_WAIT {
+            let for_ms = begun.elapsed().as_millis();
+            journal!(warn, "watch-silent", after = after.0, for_ms = for_ms);
+        }
+    })?;
     let Reply::Changes {
         entries,
         deleted,
@@ -276,7 +303,7 @@
         Ok(upstream) => upstream,
         Err(error) => {
             journal!(warn, "upstream-unreadable", id = id, error = error);
-            deregister_upstream(shared, id);
+            deregister_upstream(shared, id, "entry");
             return;
         }
     };
@@ -304,16 +331,16 @@
     }
 }
 
-/// Records that the entry of an upstream is gone.
-pub fn deregister_upstream<D: Dialect>(shared: &Shared<D>, id: &Name) {
+/// Records that the entry of an upstream is gone. `told_by` says by what, for the log.
+pub fn deregister_upstream<D: Dialect>(shared: &Shared<D>, id: &Name, told_by: &str) {
     shared.gate.borrow_mut().deregister(id);
     shared.planner.borrow_mut().deregister(id);
-    journal!(info, "upstream-gone", id = id);
+    journal!(info, "upstream-gone", id = id, told_by = told_by);
 }
 
 fn apply_deletion<D: Dialect>(shared: &Shared<D>, key: &str) {
     if let Some(id) = shared.dialect.upstream_of_key(key) {
-        deregister_upstream(shared, &id);
+        deregister_upstream(shared, &id, "watch");
     } else if key == CLAIM_KEY {
         shared.set_holder(None);
     } else if refusals::subject_of_key(key).is_some() {
