--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -1,5 +1,5 @@
-//! A stand-in for the platform's key-value service, with items, leases that never expire,
-//! conditional writes and watches. It can go back to a copy of itself, which begins an era.
+//! A stand-in for the platform's key-value service, with items, leases that do not expire by
+//! themselves, conditional writes and watches. It can go back to a copy of itself, which begins an era.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
@@ -22,6 +22,8 @@
     /// All changes, in the form in which a watch returns them.
     history: Vec<Value>,
     leases: u64,
+    /// Leases that were ended, by their holder or with [`Store::revoke_lease_of`].
+    ended_leases: BTreeSet<u64>,
     era: u64,
     /// Keys that were written or removed in this era.
     touched: BTreeSet<String>,
@@ -240,7 +242,7 @@
                 let lease = call.rsplit('/').next().expect("an id");
                 let mut items = self.state.0.lock().expect("unpoisoned");
                 let lease = lease.parse().expect("a number");
-                if lease > items.leases {
+                if lease > items.leases || items.ended_leases.contains(&lease) {
                     (404, json!({}))
                 } else {
                     let renewed = u32::from(!silent);
@@ -326,10 +328,20 @@
         (200, json!({ "revision": revision }))
     }
 
+    /// Ends the lease to which the key is attached, with all its keys.
+    pub fn revoke_lease_of(&self, key: &str) {
+        let lease = {
+            let items = self.state.0.lock().expect("unpoisoned");
+            items.entries.get(key).expect("a key").2
+        };
+        self.end_lease(&lease.to_string());
+    }
+
     fn end_lease(&self, lease: &str) {
         let lease: u64 = lease.parse().expect("a number");
         let keys: Vec<String> = {
-            let items = self.state.0.lock().expect("unpoisoned");
+            let mut items = self.state.0.lock().expect("unpoisoned");
+            items.ended_leases.insert(lease);
             let held = items.entries.iter().filter(|(_, entry)| entry.2 == lease);
             held.map(|(key, _)| key.clone()).collect()
         };
