Edge: any call that is answered again starts the watch anew

What callers saw: a host that had been cut off from the key-value service went on sending requests to upstreams that leave, for up to 21 s after it was back. Cause: only a renewal that is answered after one that was not started the watch again, and whether the last one was answered was kept beside the lease. A host whose lease had ended meanwhile, as another host told it, forgot that; a new lease is granted, not renewed. The open watch, which the service had forgotten, was waited for.

--- a/crates/daemon/tests/leaving_upstream.rs
+++ b/crates/daemon/tests/leaving_upstream.rs
@@ -71,7 +71,6 @@
     Deadline-Ms: 1000\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx";
 
 #[test]
-#[ignore = "KNOWN-RED: issue 41"]
 fn leaving_upstream_gets_nothing_from_a_host_whose_lease_ended_while_it_was_cut_off() {
     let site = Site::start();
     let _other = Host::start_with(site.store.clone());
@@ -85,6 +84,7 @@
     site.store.revoke_lease_of(&key);
     host.wait_until(|host| host.logged("event=lease-lost") == 1);
     host.store.silent.store(false, Ordering::Relaxed);
+    host.wait_until(|host| host.logged("event=watch-again") == 1);
     host.wait_until(|host| host.logged("event=host-listed") == 2);
     thread::sleep(CONTACT);
     site.leave(&host);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -99,7 +99,6 @@
         unconfirmed: RefCell::default(),
         phase: Cell::new(Phase::Starting),
         store_reached: Cell::new(false),
-        store_recovered: Notify::new(),
         changed: Notify::new(),
         phase_changed: Notify::new(),
         open_requests: Cell::new(0),
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -244,9 +244,6 @@
         in_known_era,
         result,
     } = renew(shared, keys, lease).await;
-    if reached && keys.renewal_unanswered {
-        shared.store_recovered.notify_waiters();
-    }
     keys.renewal_unanswered = !reached;
     match result {
         // The answer is about a lease of an earlier era.
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -72,9 +72,6 @@
     pub phase: Cell<Phase>,
     /// Whether the key-value service answered the last list or watch call.
     pub store_reached: Cell<bool>,
-    /// Notified when the key-value service answers a renewal after it did not answer the one
-    /// before. The service may have forgotten an open watch, which is then started again.
-    pub store_recovered: Notify,
     /// Notified when upstreams, placements or hosts have changed.
     pub changed: Notify,
     /// Notified when the phase has changed.
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -34,6 +34,11 @@
     former_era: Cell<Era>,
     /// Notified when the era has risen.
     pub era_changed: Notify,
+    /// Whether the last call other than a watch or a listing had no usable answer.
+    unanswered: Cell<bool>,
+    /// Notified when such a call has a usable answer after one that had none. The service may have
+    /// forgotten an open watch, which is then made anew.
+    pub recovered: Notify,
 }
 
 impl<D: Dialect> Store<D> {
@@ -53,6 +58,8 @@
             rises: Cell::new(0),
             former_era: Cell::default(),
             era_changed: Notify::new(),
+            unanswered: Cell::new(false),
+            recovered: Notify::new(),
         }
     }
 
@@ -141,6 +148,12 @@
         if outcome.is_ok() {
             self.last_answer.set(Some(Instant::now()));
         }
+        if !continues(op) {
+            let was_unanswered = self.unanswered.replace(outcome.is_err());
+            if was_unanswered && outcome.is_ok() {
+                self.recovered.notify_waiters();
+            }
+        }
         self.metrics.record_store_call(op.label(), outcome.is_ok());
         outcome
     }
@@ -152,11 +165,15 @@
             // What the call did may be gone.
             return Err(kv::Fault::Unknown);
         }
-        let continues = matches!(op, kv::Op::Watch { .. } | kv::Op::List { .. });
-        if continues && self.rises.get() != rises {
+        if continues(op) && self.rises.get() != rises {
             // The position belongs to an earlier era.
             return Err(kv::Fault::HistoryGone);
         }
         self.dialect.store_answer(op, answer)
     }
 }
+
+/// Whether an operation goes on from a position that an earlier one told.
+const fn continues(op: &kv::Op) -> bool {
+    matches!(op, kv::Op::Watch { .. } | kv::Op::List { .. })
+}
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -46,7 +46,7 @@
             continue;
         }
         let era_changed = shared.store.era_changed.notified();
-        let recovered = shared.store_recovered.notified();
+        let recovered = shared.store.recovered.notified();
         let result = async {
             match position {
                 None => read_all(&shared, rises_read != rises_followed).await,
