Edge: a watch waits for 0.35 of the bound, with time left to list all keys

A change may come just after a watch that hears nothing has begun: until its end and a listing the host must still be within the bound, beside the delay in which changes gather.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -19,8 +19,9 @@
 use tokio::time::{self, Instant};
 
 /// Time after which the key-value service answers a watch without changes, as a share of the
-/// longest allowed reaction delay. A watch whose answer is lost is noticed soon after it.
-const WATCH_WAIT_SHARE: f64 = 0.5;
+/// longest allowed reaction delay. A watch that hears nothing, or whose answer is lost, is found out
+/// soon after it, with time left to list all keys.
+const WATCH_WAIT_SHARE: f64 = 0.35;
 /// Delay before the next watch after an answer with changes, as a share of the longest
 /// allowed reaction delay. Further changes are collected in this time; the rest of the
 /// allowed time is for the next call and its retry.
