Edge: the callers of a large deployment are spread over all its hosts

Cause: an answer to an address query holds 64 addresses at most, and these were the first ones by name. The 64 have 0.12 of a core each and a part of the retry budget for as many requests as if all 295 served.

Now the callers of a data centre get 64 by weighted rendezvous hashing: by size, told by the new setting cores, and mostly those of their own data centre. All hosts answer alike, so that callers keep their connections; a host that leaves changes one address.

--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -32,7 +32,7 @@
 
 /// `[host]`: name and addresses of the host.
 #[serde_as]
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Host {
     /// Unique name of the host.
@@ -56,6 +56,26 @@
     /// Maximum number of file descriptors that the process may use.
     #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
     descriptors: usize,
+    /// Processor cores that the process may use, also a part of one.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    cores: f64,
+}
+
+impl Default for Host {
+    fn default() -> Self {
+        Self {
+            name: "".into(),
+            data_centre: "".into(),
+            ip: "".into(),
+            caller_address: "".into(),
+            readiness_address: "".into(),
+            directory_address: "".into(),
+            peer_port: 0,
+            metrics_port: 0,
+            descriptors: 0,
+            cores: 1.0,
+        }
+    }
 }
 
 /// `[store]`: the key-value service.
@@ -137,6 +157,9 @@
     }
 }
 
+/// Largest number of processor cores that a host may be said to have.
+const MAX_CORES: f64 = 4_096.0;
+
 const SECTIONS: [&str; 4] = ["host", "store", "bounds", "log"];
 
 /// Checks the text of a settings file; the error lists all problems.
@@ -165,9 +188,17 @@
     if host.name.is_empty() || host.data_centre.is_empty() {
         problems.push("[host] name and data_centre must be set".into());
     }
+    if !(host.cores > 0.0 && host.cores <= MAX_CORES) {
+        let cores = host.cores;
+        problems.push(format!(
+            "[host] cores = {cores} is not a number of processor cores"
+        ));
+    }
     if !problems.is_empty() {
         return Err(Error { problems });
     }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let millicores = (host.cores * 1_000.0).round() as u32;
     let settings = Settings {
         host: host.name,
         data_centre: host.data_centre,
@@ -188,6 +219,7 @@
             load_window: bounds.load_window,
             address_ttl: bounds.address_ttl,
         },
+        millicores,
         max_sockets: host.descriptors,
     };
     Ok((settings, log))
--- a/crates/edge/src/endpoint.rs
+++ b/crates/edge/src/endpoint.rs
@@ -73,8 +73,8 @@
         };
         return status_only(status);
     }
-    if shared.dialect.is_address_query(&head) {
-        let (addresses, ttl) = directory::addresses(shared);
+    if let Some(query) = shared.dialect.address_query(&head) {
+        let (addresses, ttl) = directory::addresses(shared, &query);
         if addresses.is_empty() {
             return status_only(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,7 +28,7 @@
 mod client;
 mod clock;
 mod crashes;
-mod directory;
+pub mod directory;
 mod endpoint;
 mod eras;
 pub mod events;
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -21,4 +21,11 @@
     pub callers: SocketAddr,
     /// Address on which the host accepts calls and datagrams of the other hosts.
     pub peers: SocketAddr,
+    /// Thousandths of a processor core that the host may use. Hosts of earlier versions do not tell.
+    #[serde(default = "one_core")]
+    pub millicores: u32,
+}
+
+const fn one_core() -> u32 {
+    1_000
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -99,6 +99,7 @@
             data_centre: self.settings.data_centre.clone(),
             callers: self.settings.caller_address,
             peers: self.settings.peer_address,
+            millicores: self.settings.millicores,
         }
     }
 
--- a/crates/site/src/dialect.rs
+++ b/crates/site/src/dialect.rs
@@ -3,7 +3,7 @@
 use crate::{
     Config, Order, RequestHead, Upstream,
     order::OrderOutcome,
-    request::{Dispatch, RequestError},
+    request::{AddressQuery, Dispatch, RequestError},
     upstream::{ReplyHead, Report},
 };
 use bytes::Bytes;
@@ -44,8 +44,9 @@
     /// Whether a request is the platform's readiness check.
     fn is_readiness_check(&self, head: &request::Parts) -> bool;
 
-    /// Whether a request asks for the addresses to which callers may send their requests.
-    fn is_address_query(&self, head: &request::Parts) -> bool;
+    /// What a request asks that wants the addresses to which callers may send their requests; `None`
+    /// for other requests.
+    fn address_query(&self, head: &request::Parts) -> Option<AddressQuery>;
 
     /// The answer to an address query. Callers may keep `addresses` for `ttl`.
     fn address_reply(&self, addresses: &[SocketAddr], ttl: Duration) -> Response<Bytes>;
--- a/crates/site/src/request.rs
+++ b/crates/site/src/request.rs
@@ -95,3 +95,10 @@
     /// after that event; `None` starts the stream at its beginning.
     pub resume_after: Option<Name>,
 }
+
+/// A caller's question to which addresses it may send its requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AddressQuery {
+    /// Data centre in which the caller is; `None` if it does not say.
+    pub data_centre: Option<Name>,
+}
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -26,6 +26,8 @@
     pub min_lease_ttl: Duration,
     /// Limits that the host must keep, alone or together with the other hosts.
     pub bounds: Bounds,
+    /// Thousandths of a processor core that the process may use.
+    pub millicores: u32,
     /// Number of file descriptors that the process may use for sockets.
     pub max_sockets: usize,
 }
