Fleet: a free claim is left to larger hosts for a while

Any host could gain the claim, 78 of 86 have 0.12 of a core.

Now a host leaves a free claim for 1 s to hosts of twice its size, and for 1 s more shortly after its own start, when it may not know them. Deployments of hosts of one size wait as before, but for the first 3 s.

--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -44,6 +44,8 @@
     rises: u32,
     /// A claim that nobody seems to hold, and since when.
     unheld: Option<(Fence, Instant)>,
+    /// When this host could first have taken the claim that is free now.
+    free_since: Option<Instant>,
 }
 
 impl OwnKeys {
@@ -394,13 +396,15 @@
         }
     }
     let abandoned = keys.abandoned_claim(shared, holder.as_ref());
-    if holder.is_some() && abandoned.is_none() {
+    let is_free = holder.is_none() || abandoned.is_some();
+    let is_listed = keys.lease.is_some() && keys.host_key.is_some();
+    let holds_none = shared.claim_state(now) == ClaimState::NotHeld;
+    if !(is_free && is_listed && holds_none && shared.store_reached.get()) {
+        keys.free_since = None;
         return;
     }
-    if keys.lease.is_none() || keys.host_key.is_none() {
-        return;
-    }
-    if shared.claim_state(now) != ClaimState::NotHeld || !shared.store_reached.get() {
+    let free_since = *keys.free_since.get_or_insert_with(Instant::now);
+    if free_since.elapsed() < precedence_delay(shared) {
         return;
     }
     let seed = now.as_micros();
@@ -429,3 +433,13 @@
     record_gained(shared, sent_at, fence, replaced_at);
     shared.set_holder(Some((shared.registration(), fence)));
 }
+
+/// Time for which this host leaves a free claim to larger hosts.
+fn precedence_delay<D>(shared: &Shared<D>) -> Duration {
+    let hosts = shared.hosts.borrow();
+    let sizes = hosts
+        .values()
+        .map(|(registration, _)| registration.millicores);
+    let uptime = shared.clock.now().since(Time::ZERO);
+    mulberryrack_fleet::precedence_delay(shared.settings.millicores, sizes, uptime)
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,5 +19,5 @@
 mod window;
 mod work;
 
-pub use claim::{Claim, ClaimState, Fence, PeerEras, PeerView, Rewrite};
+pub use claim::{Claim, ClaimState, Fence, PeerEras, PeerView, Rewrite, precedence_delay};
 pub use planner::{Demand, PlannedOrder, Planner};
--- a/crates/fleet/tests/claim.rs
+++ b/crates/fleet/tests/claim.rs
@@ -4,7 +4,7 @@
     Time,
     kv::{Era, Revision},
 };
-use mulberryrack_fleet::{Claim, ClaimState, Fence, PeerEras, PeerView, Rewrite};
+use mulberryrack_fleet::{Claim, ClaimState, Fence, PeerEras, PeerView, Rewrite, precedence_delay};
 use std::time::Duration;
 
 const TTL: Duration = Duration::from_millis(2_400);
@@ -203,3 +203,23 @@
         assert_eq!(fence(2, 7).is_newest_to(peer), expected, "{peer:?}");
     }
 }
+
+#[test]
+fn a_small_host_leaves_a_free_claim_to_larger_ones_for_a_while() {
+    let settled = Duration::from_secs(60);
+    let delay =
+        |own: u32, sizes: &[u32], uptime| precedence_delay(own, sizes.iter().copied(), uptime);
+    let alike = delay(120, &[120, 130, 120], settled);
+    assert_eq!(alike, Duration::ZERO);
+    assert_eq!(delay(500, &[120, 500, 120], settled), Duration::ZERO);
+    let beside_larger = delay(120, &[120, 500], settled);
+    assert!(beside_larger > Duration::ZERO);
+    // Shortly after the start of a deployment a host may not know the larger ones yet: it waits for
+    // them, and then for their claim.
+    let new = delay(120, &[], Duration::from_millis(100));
+    assert!(new > Duration::ZERO);
+    assert!(
+        delay(120, &[500], Duration::from_millis(100))
+            > delay(500, &[120], Duration::from_millis(100))
+    );
+}
