Edge: a connection on which a refusal without an id came is closed

What callers saw: 503 or 429, a promise that a request has not run, for one that had run or was running, or a request that ran twice. Cause: an upstream writes an earlier refusal once more on a kept connection; the copy bears no id and was taken for the answer to the next request. A copy with the id of the earlier attempt was told apart before.

A refusal is still believed, as it is the first thing that answers its request there; what follows it on the connection is not.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -7,7 +7,7 @@
     socket,
 };
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header, response};
+use http::{HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -159,7 +159,7 @@
     }
 
     /// Sends a request and reads the whole answer, with a body of up to `max_bytes`. The
-    /// connection then returns to the pool.
+    /// connection then returns to the pool, unless the answer is a refusal.
     ///
     /// # Errors
     ///
@@ -175,7 +175,9 @@
         request.headers_mut().insert(header::HOST, value);
         let (head, body) = self.send(request).await?;
         let body = self.read_body(body, max_bytes).await?;
-        self.return_to_pool(None);
+        if !is_refusal(head.status) {
+            self.return_to_pool(None);
+        }
         Ok(Response::from_parts(head, body))
     }
 }
@@ -318,3 +320,9 @@
             .unwrap_or(Err(Fault::Silent))
     }
 }
+
+/// Whether an answer says that what was asked for was not done. It names nothing that it answers:
+/// written once more, it would be taken for the answer to whatever is sent next.
+const fn is_refusal(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -585,7 +585,11 @@
         let body = connection.read_body(body, bounds::MAX_REJECTION_BYTES);
         let read = time::timeout(MIN_SILENCE_TIMEOUT, body).await;
         match read {
-            Ok(Ok(_)) if !reply.close => connection.return_to_pool(reply.keep_alive),
+            // Without an id, the same refusal written once more would be taken for the answer to the
+            // next request.
+            Ok(Ok(_)) if !reply.close && reply.attempt_id.is_some() => {
+                connection.return_to_pool(reply.keep_alive);
+            }
             Ok(Err(Fault::Excessive)) => replies::record_excess(&self.shared, target.id, "request"),
             _ => {}
         }
