Edge: only an event stream goes on with a stream that has begun

What callers saw: the text of an error, or of another answer, in the middle of their stream, which ended as if it were complete. Cause: an answer to a stream that is resumed was judged by itself: 200 with another media type, or 204, is a complete answer, but it does not go on with what the caller has.

Now it must be 200 and an event stream without an encoding, and its first event must have a higher id than the last one sent; otherwise another upstream is asked, and the stream breaks off visibly if there is none.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -2,7 +2,7 @@
 //! between two of them. Lines end with a line feed, a carriage return or both.
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, StatusCode, header, response};
 
 /// Header of a request for the events of a stream after the one with this id.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
@@ -17,6 +17,14 @@
     Some(essence.trim().eq_ignore_ascii_case("text/event-stream"))
 }
 
+/// Whether the answer with this head may go on with an event stream that another answer has begun.
+#[must_use]
+pub fn may_continue(head: &response::Parts) -> bool {
+    head.status == StatusCode::OK
+        && is_event_stream(&head.headers) != Some(false)
+        && !head.headers.contains_key(header::CONTENT_ENCODING)
+}
+
 /// First byte of a line that is a comment and belongs to no event.
 const COMMENT: u8 = b':';
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,7 +5,7 @@
     bounds::{self, StreamBounds},
     client::{Connection, Fault, Remote},
     crashes,
-    events::{self, Content, LAST_EVENT_ID, Splitter},
+    events::{self, Content, Event, LAST_EVENT_ID, Splitter},
     framing::Framing,
     journal::journal,
     meter::ReadState,
@@ -82,9 +82,24 @@
     splitter: Splitter,
     /// Whether an event was read, other than comments.
     has_event: bool,
+    /// Number of the event after which the stream goes on, until the next one is read; `None` also
+    /// if ids are no numbers.
+    resumed_after: Option<u64>,
 }
 
 impl Stream {
+    /// Whether an event may follow those that the caller has: its id is higher.
+    fn may_follow(&mut self, event: &Event) -> bool {
+        let id = event.id.as_ref().and_then(|id| id.parse::<u64>().ok());
+        match (id, self.resumed_after) {
+            (Some(id), Some(last)) => {
+                self.resumed_after = None;
+                id > last
+            }
+            _ => true,
+        }
+    }
+
     /// Whether an event stream is complete whose body has ended.
     fn is_complete(&self, may_be_empty: bool) -> bool {
         self.splitter.is_between_events() && (self.has_event || may_be_empty)
@@ -566,6 +581,9 @@
             return self.answer_lost(target, Fault::Broken);
         }
         self.record_answer(target, answer.dispatched_at);
+        if self.progress.head_sent && !events::may_continue(&answer.head) {
+            return self.answer_lost(target, Fault::Broken);
+        }
         if state.route.streaming && answer.head.status.is_success() {
             return self.relay_stream(state, target, answer).await;
         }
@@ -721,6 +739,11 @@
         self.progress.last_event_id.is_some() || self.head.headers.contains_key(LAST_EVENT_ID)
     }
 
+    /// Number of the last event that an earlier dispatch has sent to the caller.
+    fn resumed_after(&self) -> Option<u64> {
+        self.progress.last_event_id.as_ref()?.parse().ok()
+    }
+
     /// Records how the body of an answer was read, for the log and the metrics.
     fn record_body(
         &mut self,
@@ -767,6 +790,7 @@
             bounds,
             splitter: Splitter::default(),
             has_event: false,
+            resumed_after: self.resumed_after(),
         };
         let end = self.relay_events(state, target, &mut stream).await;
         let unfinished_bytes = stream.splitter.pending_bytes();
@@ -828,6 +852,9 @@
             }
             while let Some(event) = stream.splitter.next_event() {
                 since = self.record_event(target);
+                if !stream.may_follow(&event) {
+                    return StreamEnd::Broken;
+                }
                 if !stream.bounds.take(event.bytes.len()) {
                     return StreamEnd::Excessive;
                 }
