Fleet: only a host that has read its own registration takes a free claim

Cause: at the start of a deployment a host knows the others only from its next watch on, 1.4 s later on the large site; the wait of 1 s for new hosts was over by then. A host that reads its own registration has read those before it: the wait by time is gone.

--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -397,7 +397,7 @@
     }
     let abandoned = keys.abandoned_claim(shared, holder.as_ref());
     let is_free = holder.is_none() || abandoned.is_some();
-    let is_listed = keys.lease.is_some() && keys.host_key.is_some();
+    let is_listed = keys.lease.is_some() && keys.host_key.is_some() && knows_itself(shared);
     let holds_none = shared.claim_state(now) == ClaimState::NotHeld;
     if !(is_free && is_listed && holds_none && shared.store_reached.get()) {
         keys.free_since = None;
@@ -440,6 +440,10 @@
     let sizes = hosts
         .values()
         .map(|(registration, _)| registration.millicores);
-    let uptime = shared.clock.now().since(Time::ZERO);
-    mulberryrack_fleet::precedence_delay(shared.settings.millicores, sizes, uptime)
+    mulberryrack_fleet::precedence_delay(shared.settings.millicores, sizes)
+}
+
+/// Whether this host has read its own registration, and so knows the hosts that were listed before.
+fn knows_itself<D>(shared: &Shared<D>) -> bool {
+    shared.hosts.borrow().contains_key(&shared.settings.host)
 }
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -28,23 +28,19 @@
 
 /// Time for which a host leaves a free claim to larger ones.
 const PRECEDENCE_PERIOD: Duration = Duration::from_secs(1);
-/// Time after its start in which a host may not know the others yet. It waits for them once more.
-const ACQUAINTANCE_PERIOD: Duration = Duration::from_secs(3);
 /// Size of a host, as a multiple of another's, from which on it comes before the other.
 const LARGER_FACTOR: u32 = 2;
 
 /// Time for which a host leaves a free claim to larger ones: giving orders takes more of the
 /// processor than serving callers, and a host that is late with one is late with both. Sizes are in
-/// any unit; `uptime` is the time since this host's start.
+/// any unit.
 #[must_use]
-pub fn precedence_delay(
-    own_size: u32,
-    mut sizes: impl Iterator<Item = u32>,
-    uptime: Duration,
-) -> Duration {
-    let is_larger = |size: u32| size >= own_size.saturating_mul(LARGER_FACTOR);
-    let is_new = uptime < ACQUAINTANCE_PERIOD;
-    PRECEDENCE_PERIOD * (u32::from(is_new) + u32::from(sizes.any(is_larger)))
+pub fn precedence_delay(own_size: u32, mut sizes: impl Iterator<Item = u32>) -> Duration {
+    if sizes.any(|size| size >= own_size.saturating_mul(LARGER_FACTOR)) {
+        PRECEDENCE_PERIOD
+    } else {
+        Duration::ZERO
+    }
 }
 
 /// Position of a claim among all claims. Revisions are given out again when the key-value
