Edge: the log and the metrics tell the limits that upstreams state

Logs could not tell whether hosts read the requests a second that an upstream states for all hosts together, or keep it each alone: the record has no line of what upstreams state. The header is read now, strictly as a decimal number, and answers that overtake one another are put in order by when their requests were sent. New: the lines upstream-limit and limit-unreadable, limit= in each line sent, the metrics limited_upstreams and malformed_limits. No decision uses it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,10 +30,12 @@
 pub mod node;
 pub mod note;
 pub mod outcome;
+mod rate;
 pub mod request;
 mod time;
 pub mod upstream;
 pub mod view;
 
 pub use node::{Incarnation, Name};
+pub use rate::Rate;
 pub use time::{Time, earliest};
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -307,6 +307,7 @@
                 .metrics
                 .record_retry(target.retry.map_or("none", Retry::label));
         }
+        let limit = self.shared.gate.borrow().limit(target.id);
         let (running, waiting, age) = target.load_report.map_or((0, 0, 0), |(load, age)| {
             (load.running, load.waiting, age.as_millis())
         });
@@ -321,6 +322,7 @@
             candidates = target.candidates,
             running = running,
             waiting = waiting,
+            limit = limit.map_or_else(|| "-".to_owned(), |it| it.to_string()),
             load_age_ms = age,
             read_ms = target.read_ms.round(),
             backlog_ms = target.backlog_ms.round(),
@@ -559,7 +561,8 @@
             incarnation: state.incarnation(),
             at: now,
         };
-        replies::record(&self.shared, asked, &reply);
+        let attempt = &state.head.attempt_id;
+        replies::record(&self.shared, asked, attempt, response.status, &reply);
         if reply
             .attempt_id
             .as_ref()
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -92,6 +92,7 @@
         written_refusals: RefCell::default(),
         permits_asked: RefCell::default(),
         probed: RefCell::default(),
+        malformed_limits: RefCell::default(),
         probe_ended: Notify::new(),
         hosts: RefCell::default(),
         holder: RefCell::default(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod journal;
 mod lateness;
 mod lease_extension;
+mod limit_metrics;
 mod membership;
 mod meter;
 mod metrics;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The host's metrics, served in the Prometheus text format.
 
+use crate::limit_metrics::LimitMetrics;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{
@@ -88,6 +89,8 @@
     pub config_version: Gauge,
     /// Number of registered upstreams.
     pub upstreams: Gauge,
+    /// Upstreams that take a limited number of requests a second.
+    pub limits: LimitMetrics,
     /// Number of requests with evidence that they were in flight on a crash.
     pub suspected_requests: Gauge,
     /// Number of requests that are refused because they crash upstreams.
@@ -152,6 +155,7 @@
                 "Probes of upstreams on which a dispatch broke, by what they found",
                 Family::default(),
             ),
+            limits: LimitMetrics::new(&mut registry),
             suspected_requests: gauge(
                 &mut registry,
                 "suspected_requests",
--- a/crates/edge/src/replies.rs
+++ b/crates/edge/src/replies.rs
@@ -1,9 +1,11 @@
 //! What the head of an upstream's answer says about the upstream itself, whatever was asked.
 
 use crate::{crashes, journal::journal, notices, shared::Shared};
-use mulberryrack_core::Time;
+use http::StatusCode;
+use mulberryrack_core::{Name, Rate, Time};
 use mulberryrack_gate::UpstreamId;
-use mulberryrack_site::upstream::{Availability, ReplyHead};
+use mulberryrack_site::upstream::{Availability, ReplyHead, StatedLimit};
+use mulberryrack_throttle::{Change, Observation};
 use std::{rc::Rc, time::Duration};
 use tokio::{task, time};
 
@@ -17,8 +19,14 @@
     pub at: Time,
 }
 
-/// Records what the answer to a caller's request says about its upstream.
-pub fn record<D: 'static>(shared: &Rc<Shared<D>>, asked: Asked, reply: &ReplyHead) {
+/// Records what the answer to a caller's request, with this attempt id, says about its upstream.
+pub fn record<D: 'static>(
+    shared: &Rc<Shared<D>>,
+    asked: Asked,
+    attempt: &Name,
+    status: StatusCode,
+    reply: &ReplyHead,
+) {
     let now = shared.clock.now();
     if let Some(load) = reply.load {
         let mut gate = shared.gate.borrow_mut();
@@ -29,7 +37,17 @@
         gate.record_identity(now, asked.id, name, asked.at);
     }
     crashes::report(shared);
-    record_availability(shared, asked, reply);
+    let is_answer = reply.attempt_id.as_ref() == Some(attempt);
+    let has_run = is_answer && reply.signed && !reply.not_run && status.is_success();
+    if has_run && reply.availability.limit == StatedLimit::None {
+        record_limit(shared, asked, None);
+    }
+    let mut reply = reply.clone();
+    if !is_answer && reply.attempt_id.is_some() {
+        // The answer to an earlier request tells what the upstream stated then.
+        reply.availability.limit = StatedLimit::None;
+    }
+    record_availability(shared, asked, &reply);
 }
 
 /// Records what any answer of an upstream says about the requests that it still takes.
@@ -39,7 +57,17 @@
     if is_other {
         return;
     }
-    let Availability { rest, leaving } = reply.availability;
+    let Availability {
+        rest,
+        leaving,
+        limit,
+    } = reply.availability;
+    match limit {
+        StatedLimit::Rate(limit) => record_limit(shared, asked, Some(limit)),
+        StatedLimit::Malformed => record_malformed_limit(shared, asked.id, &name),
+        // Only the answer to a request ends a limit.
+        StatedLimit::None => {}
+    }
     if let Some(period) = rest {
         record_rest(shared, asked, period);
     }
@@ -68,6 +96,47 @@
     is_news
 }
 
+/// Records what an answer states about the requests a second that its upstream takes.
+fn record_limit<D>(shared: &Shared<D>, asked: Asked, limit: Option<Rate>) {
+    let observation = Observation {
+        limit,
+        sent_at: asked.at,
+        heard_at: shared.clock.now(),
+    };
+    let change = {
+        let mut gate = shared.gate.borrow_mut();
+        gate.record_limit(asked.id, asked.incarnation, observation)
+    };
+    if let Some(change) = change {
+        let name = shared.gate.borrow().name(asked.id);
+        log_limit(shared, &name, change, "answer");
+    }
+}
+
+/// Logs that a limit has begun, changed or ended.
+fn log_limit<D>(shared: &Shared<D>, upstream: &Name, change: Change, told_by: &str) {
+    let label = |limit: Option<Rate>| limit.map_or_else(|| "none".to_owned(), |it| it.to_string());
+    journal!(
+        info,
+        "upstream-limit",
+        upstream = upstream,
+        from = label(change.from),
+        to = label(change.to),
+        told_by = told_by,
+    );
+    let limited = shared.gate.borrow().limited_count();
+    let limited = i64::try_from(limited).unwrap_or(i64::MAX);
+    shared.metrics.limits.upstreams.set(limited);
+}
+
+/// Counts a statement that cannot be read, and logs the first one of an upstream.
+fn record_malformed_limit<D>(shared: &Shared<D>, id: UpstreamId, upstream: &Name) {
+    shared.metrics.limits.malformed.inc();
+    if shared.malformed_limits.borrow_mut().insert(id) {
+        journal!(warn, "limit-unreadable", upstream = upstream);
+    }
+}
+
 /// Records that an upstream has sent more than is read of an answer; `reader` says of what.
 /// Other upstreams are preferred for a while.
 pub fn record_excess<D>(shared: &Shared<D>, id: UpstreamId, reader: &'static str) {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -59,6 +59,8 @@
     pub permits_asked: RefCell<BTreeMap<u64, Asked>>,
     /// Upstreams that are probed now, to find out whether they have ended.
     pub probed: RefCell<BTreeSet<UpstreamId>>,
+    /// Upstreams that have stated a limit on requests that cannot be read.
+    pub malformed_limits: RefCell<BTreeSet<UpstreamId>>,
     /// Notified when a probe of an upstream has ended.
     pub probe_ended: Notify,
     /// Registered hosts, this host included, with the revisions of their keys.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -27,6 +27,7 @@
 mod crash;
 mod failures;
 mod gate;
+mod limit;
 mod read_time;
 mod request;
 mod rest;
--- a/crates/gate/src/upstreams.rs
+++ b/crates/gate/src/upstreams.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cache::PrefixCache, crash::CrashState, failures::FailureShare, gate::ModelChange,
-    request::Ending, rest::Rest,
+    limit::LimitState, request::Ending, rest::Rest,
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_site::upstream::{LoadReport, State, Upstream};
@@ -67,6 +67,8 @@
     pub crash: CrashState,
     /// The last rest that the incarnation asked for, until its return is no longer paced.
     pub rest: Option<Rest>,
+    /// The requests a second that the incarnation takes from all hosts together.
+    pub limit: LimitState,
 }
 
 impl UpstreamState {
@@ -89,6 +91,7 @@
             model_changes: Vec::new(),
             crash: CrashState::default(),
             rest: None,
+            limit: LimitState::default(),
         }
     }
 
--- a/crates/site/src/upstream.rs
+++ b/crates/site/src/upstream.rs
@@ -1,6 +1,6 @@
 //! What an upstream's registration, its reports and the heads of its answers say about it.
 
-use mulberryrack_core::Name;
+use mulberryrack_core::{Name, Rate};
 use std::{net::SocketAddr, time::Duration};
 
 /// The registration of an upstream: its entry in the key-value service.
@@ -129,4 +129,19 @@
     pub rest: Option<Duration>,
     /// Whether the upstream is leaving.
     pub leaving: bool,
+    /// The requests a second that the upstream takes from all hosts together.
+    pub limit: StatedLimit,
+}
+
+/// What an answer says about the requests a second that its upstream takes from all hosts
+/// together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedLimit {
+    /// It takes any number.
+    #[default]
+    None,
+    /// It takes at most so many.
+    Rate(Rate),
+    /// The statement is no number of requests a second.
+    Malformed,
 }
