--- a/crates/gate/src/limit.rs
+++ b/crates/gate/src/limit.rs
@@ -33,12 +33,10 @@
 const QUEUED_ASK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which a waiting request that was told to wait still waits when its token is due.
 const GRANT_LATENESS: Duration = Duration::from_millis(100);
-/// Unanswered asks, and the time since the first of them, after which the host that gives the
-/// tokens is taken for silent.
-const SILENT_AFTER_ASKS: u32 = 3;
-const SILENT_AFTER: Duration = Duration::from_millis(250);
-/// Time for which a silent host is not asked; doubles each time up to the longest one.
-const MIN_SILENT_PERIOD: Duration = Duration::from_secs(1);
+/// Longest wait for an answer, for a request that no other upstream can run.
+const MAX_ONLY_ANSWER_WAIT: Duration = Duration::from_millis(250);
+/// Time for which a host that did not answer is not asked; doubles each time up to the longest one.
+const MIN_SILENT_PERIOD: Duration = Duration::from_millis(250);
 const MAX_SILENT_PERIOD: Duration = Duration::from_secs(4);
 /// Time for which a host is not asked that said that it does not give the tokens.
 const NOT_GIVER_PERIOD: Duration = Duration::from_millis(500);
@@ -52,7 +50,7 @@
 /// Interval at which the host that gives the tokens tells all others the limits.
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 /// Limits in one message, which has to fit into a datagram.
-const MAX_NOTICES: usize = 12;
+const MAX_NOTICES: usize = 8;
 /// Datagrams that tell of the end of a limit, as some may be lost.
 const END_NOTICES: usize = 2;
 /// The end of a limit counts from this much earlier if another host tells of it, as its message
@@ -88,15 +86,11 @@
     Other(Name),
 }
 
-/// Answers that a host owes.
-#[derive(Clone, Copy, Debug, Default)]
+/// A host that has not answered since it was asked last.
+#[derive(Clone, Copy, Debug)]
 struct Silence {
-    /// Asks without an answer since the last one, and the time of the first of them.
-    unanswered: u32,
-    since: Time,
     /// Time until which it is not asked.
     until: Time,
-    /// Length of the last such period.
     period: Duration,
 }
 
@@ -447,8 +441,13 @@
         match self.giver(now, id) {
             Some(Giver::Other(host)) => {
                 self.ask_other(now, request, id, host, until);
-                let gives_up_at = until.max(now + MAX_ANSWER_WAIT);
-                TokenStep::Wait((now + ASK_INTERVAL).min(gives_up_at))
+                let is_only = until > now;
+                let wait = if is_only {
+                    ASK_INTERVAL
+                } else {
+                    MAX_ANSWER_WAIT
+                };
+                TokenStep::Wait(now + wait)
             }
             Some(Giver::Own) => self.ask_own(now, request, id, until),
             None => self.share_step(now, request, id, limit, until),
@@ -517,15 +516,24 @@
             self.give_token_back(request);
             return None;
         }
+        let answer_until = if asked.until > asked.first_at {
+            asked.first_at + MAX_ONLY_ANSWER_WAIT
+        } else {
+            asked.first_at + MAX_ANSWER_WAIT
+        };
         let gives_up_at = if is_queued {
             asked.until + GRANT_LATENESS
         } else {
-            asked.until.max(asked.first_at + MAX_ANSWER_WAIT)
+            answer_until
         };
         if now >= gives_up_at {
             self.give_token_back(request);
-            request.tokens.pass_over(now, id, Duration::ZERO);
-            return Some(TokenStep::PassOver);
+            if is_queued {
+                request.tokens.pass_over(now, id, Duration::ZERO);
+                return Some(TokenStep::PassOver);
+            }
+            self.record_silent_token_giver(now, &asked.giver);
+            return None;
         }
         let interval = if is_queued {
             QUEUED_ASK_INTERVAL
@@ -576,8 +584,7 @@
             ask: ask(now, request, host, until),
         };
         self.tokens.outbox.push((To::Host(giver.clone()), ask));
-        self.record_asked(now, request, id, Giver::Other(giver.clone()), until);
-        self.record_unanswered(now, giver);
+        self.record_asked(now, request, id, Giver::Other(giver), until);
     }
 
     fn record_asked(
@@ -601,19 +608,18 @@
         asked.last_at = now;
     }
 
-    /// Records that a host owes an answer. One that does not answer is not asked for a while.
-    fn record_unanswered(&mut self, now: Time, host: Name) {
-        let silence = self.tokens.silences.entry(host).or_default();
-        if silence.unanswered == 0 {
-            silence.since = now;
-        }
-        silence.unanswered += 1;
-        if silence.unanswered > SILENT_AFTER_ASKS && now.since(silence.since) >= SILENT_AFTER {
-            silence.period = (silence.period * 2).clamp(MIN_SILENT_PERIOD, MAX_SILENT_PERIOD);
-            silence.until = now + silence.period;
-            silence.unanswered = 0;
-            self.tokens.counts.silent += 1;
-        }
+    /// Has another host asked for a while instead of one that did not answer.
+    fn record_silent_token_giver(&mut self, now: Time, giver: &Giver) {
+        let Giver::Other(host) = giver else {
+            return;
+        };
+        let last = self.tokens.silences.get(host);
+        let period = last.map_or(Duration::ZERO, |it| it.period * 2);
+        let period = period.clamp(MIN_SILENT_PERIOD, MAX_SILENT_PERIOD);
+        let until = now + period;
+        let silence = Silence { until, period };
+        self.tokens.silences.insert(host.clone(), silence);
+        self.tokens.counts.silent += 1;
     }
 
     fn ask_own(
--- a/crates/throttle/src/allocator.rs
+++ b/crates/throttle/src/allocator.rs
@@ -7,7 +7,7 @@
 use crate::bucket::Bucket;
 use mulberryrack_core::{Name, Rate, Time};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -73,8 +73,10 @@
     /// Invariant: the same requests as in `places`. Bounded, as each of them can go in time.
     queue: BTreeMap<Place, Waiting>,
     places: BTreeMap<Holder, Place>,
-    /// Requests that got a token within [`REPEAT_PERIOD`], oldest first.
-    granted: VecDeque<(Time, Holder)>,
+    /// Requests that got a token within [`REPEAT_PERIOD`] and have not given it back.
+    granted: BTreeSet<Holder>,
+    /// When requests got tokens, oldest first.
+    grants: VecDeque<(Time, Holder)>,
     last_order: u64,
 }
 
@@ -86,7 +88,8 @@
             bucket: Bucket::new(now, rate.max(MIN_RATE)),
             queue: BTreeMap::new(),
             places: BTreeMap::new(),
-            granted: VecDeque::new(),
+            granted: BTreeSet::new(),
+            grants: VecDeque::new(),
             last_order: 0,
         }
     }
@@ -100,7 +103,7 @@
     /// do not come too late.
     pub fn ask(&mut self, now: Time, ask: Ask) -> Answer {
         self.forget_old_grants(now);
-        if self.granted.iter().any(|(_, holder)| *holder == ask.holder) {
+        if self.granted.contains(&ask.holder) {
             return Answer::Granted;
         }
         if let Some(&place) = self.places.get(&ask.holder) {
@@ -112,7 +115,7 @@
         };
         let ahead = self.queue.range(..place).count();
         if ahead == 0 && self.bucket.take(now) {
-            self.granted.push_back((now, ask.holder));
+            self.record_grant(now, ask.holder);
             return Answer::Granted;
         }
         let wait = self.wait_at(now, ahead);
@@ -133,10 +136,17 @@
         self.bucket.time_until(now, ahead + 1)
     }
 
+    fn record_grant(&mut self, now: Time, holder: Holder) {
+        self.granted.insert(holder.clone());
+        self.grants.push_back((now, holder));
+    }
+
     fn forget_old_grants(&mut self, now: Time) {
         let is_old = |(at, _): &(Time, Holder)| now.since(*at) > REPEAT_PERIOD;
-        while self.granted.front().is_some_and(is_old) {
-            self.granted.pop_front();
+        while self.grants.front().is_some_and(is_old) {
+            if let Some((_, holder)) = self.grants.pop_front() {
+                self.granted.remove(&holder);
+            }
         }
     }
 
@@ -149,7 +159,7 @@
                 break;
             };
             self.places.remove(&first.holder);
-            self.granted.push_back((now, first.holder.clone()));
+            self.record_grant(now, first.holder.clone());
             answers.push((first.holder, Answer::Granted));
         }
         let mut kept = 0;
@@ -182,9 +192,7 @@
         if let Some(place) = self.places.remove(holder) {
             self.queue.remove(&place);
         }
-        let granted = self.granted.iter().position(|(_, other)| other == holder);
-        if let Some(index) = granted {
-            self.granted.remove(index);
+        if self.granted.remove(holder) {
             self.bucket.put_back();
         }
     }
--- a/crates/throttle/src/bucket.rs
+++ b/crates/throttle/src/bucket.rs
@@ -3,9 +3,10 @@
 use mulberryrack_core::{Rate, Time};
 use std::time::Duration;
 
-/// Period whose tokens the bucket holds, if that is more than one token. Covers a host's thread
-/// that is late.
+/// Period whose tokens the bucket holds, which covers a host's thread that is late, and the least
+/// that it holds. More than one, so that the next token falls due while one is not yet asked for.
 const BURST_PERIOD: Duration = Duration::from_millis(100);
+const MIN_CAPACITY: f64 = 1.5;
 /// Part of a token that counts as a whole one, for rounding.
 const ROUNDING: f64 = 1e-6;
 
@@ -40,7 +41,7 @@
     }
 
     fn capacity(&self) -> f64 {
-        self.rate.in_period(BURST_PERIOD).max(1.0)
+        self.rate.in_period(BURST_PERIOD).max(MIN_CAPACITY)
     }
 
     /// Takes a token if there is one.
