Review case 3: requests to an engine that has left, after a drill of the store

Cause: a host that knows that an upstream's entry was removed takes the same entry for new when the store comes back from an older copy that has it.

The case: a script in which an engine's entry is removed, and the store comes back from a copy that has the entry while the engine still serves.

--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -215,6 +215,7 @@
             events: 5,
             gap: Duration::from_millis(10),
             framing: Framing::Chunks,
+            plain: None,
             born: 1_000 + number,
         };
         let engine = Engine::start(setup, orders.clone(), &record)?;
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -37,6 +37,8 @@
     pub events: u32,
     pub gap: Duration,
     pub framing: Framing,
+    /// Time for which each request runs, if the answers are no streams.
+    pub plain: Option<Duration>,
     /// Unix milliseconds.
     pub born: u64,
 }
@@ -65,6 +67,8 @@
     pub address: SocketAddr,
     memory: Arc<Mutex<Memory>>,
     orders: Arc<Mutex<Vec<Order>>>,
+    /// Requests that were run, with the time at which they began.
+    pub runs: Arc<Mutex<Vec<(Duration, String)>>>,
     record: Record,
 }
 
@@ -81,6 +85,7 @@
             address: ([0, 0, 0, 0], 0).into(),
             memory,
             orders,
+            runs: Arc::default(),
             record: record.clone(),
         };
         let serving = engine.clone();
@@ -249,6 +254,15 @@
             let head = format!("{name}Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
             return http::respond(stream, 421, &head, "").map(|()| true);
         }
+        if let Some(work) = self.setup.plain {
+            let id = &self.setup.id;
+            self.record.line(&format!("run engine={id} attempt={attempt}"));
+            self.runs.lock().expect("unpoisoned").push((self.record.now(), attempt.clone()));
+            thread::sleep(work);
+            self.record.line(&format!("ran engine={id} attempt={attempt} to its end"));
+            let head = format!("{name}Attempt-Id: {attempt}\r\nResponse-Signature: sig-{attempt}\r\n");
+            return http::respond(stream, 200, &head, &format!("done {attempt}")).map(|()| true);
+        }
         let after: u32 = request.header("last-event-id").parse().unwrap_or(0);
         let id = &self.setup.id;
         self.record.line(&format!("run engine={id} attempt={attempt} after={after}"));
--- a/review/standin/mod.rs
+++ b/review/standin/mod.rs
@@ -6,5 +6,6 @@
 pub mod host;
 pub mod http;
 pub mod json;
+pub mod process;
 pub mod record;
 pub mod store;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -34,13 +34,20 @@
     lease: u64,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     ends_at: Instant,
 }
 
-#[derive(Default)]
+/// What the service held at a moment.
+#[derive(Clone)]
+pub struct Copy(State);
+
+#[derive(Clone, Default)]
 struct State {
+    /// Rises each time that the service comes back from a copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     history: Vec<(u64, Json)>,
@@ -216,6 +223,20 @@
         keys.cloned().collect()
     }
 
+    pub fn copy(&self) -> Copy {
+        Copy(self.lock().clone())
+    }
+
+    /// Loses everything that was written since the copy, leases too. Revisions are given out again.
+    pub fn go_back(&self, copy: &Copy) {
+        let mut state = self.lock();
+        let era = state.era + 1;
+        *state = State { era, ..copy.0.clone() };
+        state.end_expired();
+        drop(state);
+        self.changed.notify_all();
+    }
+
     /// The value of a key as text.
     pub fn read(&self, key: &str) -> Option<String> {
         let value = self.lock().items.get(key)?.value.clone();
@@ -242,8 +263,9 @@
                 Mode::TurnAway => (503, table(&[])),
                 Mode::Silent => continue,
             };
-            let headers = "Content-Type: application/json\r\n";
-            if http::respond(&mut stream, status, headers, &body.to_string()).is_err() {
+            let era = self.lock().era;
+            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            if http::respond(&mut stream, status, &headers, &body.to_string()).is_err() {
                 return;
             }
         }
@@ -319,8 +341,9 @@
         let after = number("after").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("wait-ms").unwrap_or(0).min(30_000));
         let mut state = self.lock();
+        let era = state.era;
         loop {
-            if after > state.revision {
+            if after > state.revision || state.era != era {
                 return (410, table(&[]));
             }
             let is_new = |(revision, event): &&(u64, Json)| {
