Review case 2: a request that may run once runs twice

Cause: a refusal without an attempt id is believed on a connection that was used before, whatever request it meets there.

--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -216,6 +216,7 @@
             gap: Duration::from_millis(10),
             framing: Framing::Chunks,
             plain: None,
+            extra_each: 0,
             born: 1_000 + number,
         };
         let engine = Engine::start(setup, orders.clone(), &record)?;
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -4,7 +4,10 @@
     collections::{BTreeMap, BTreeSet},
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -39,6 +42,9 @@
     pub framing: Framing,
     /// Time for which each request runs, if the answers are no streams.
     pub plain: Option<Duration>,
+    /// While the engine is faulty, it writes an earlier refusal once more on one in so many of the
+    /// requests that arrive on a connection that was used before. Only where answers are no streams.
+    pub extra_each: u32,
     /// Unix milliseconds.
     pub born: u64,
 }
@@ -69,6 +75,9 @@
     orders: Arc<Mutex<Vec<Order>>>,
     /// Requests that were run, with the time at which they began.
     pub runs: Arc<Mutex<Vec<(Duration, String)>>>,
+    /// Requests that arrived on a connection that was used before.
+    reused: Arc<AtomicU32>,
+    pub faulty: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -86,6 +95,8 @@
             memory,
             orders,
             runs: Arc::default(),
+            reused: Arc::default(),
+            faulty: Arc::default(),
             record: record.clone(),
         };
         let serving = engine.clone();
@@ -142,16 +153,23 @@
         let _ = stream.set_nodelay(true);
         let Ok(read_half) = stream.try_clone() else { return };
         let mut reader = BufReader::new(read_half);
+        let mut is_used = false;
         while let Ok(request) = http::read_request(&mut reader) {
-            let keeps = self.answer(&mut stream, &request);
+            let keeps = self.answer(&mut stream, &request, is_used);
             if !matches!(keeps, Ok(true)) {
                 return;
             }
+            is_used = true;
         }
     }
 
     /// Answers a request. Returns whether the connection stays open.
-    fn answer(&self, stream: &mut TcpStream, request: &Request) -> io::Result<bool> {
+    fn answer(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        is_used: bool,
+    ) -> io::Result<bool> {
         let name = format!("Instance-Id: {}\r\nInstance-Load: 1,0,64\r\n", self.setup.id);
         let json = format!("{name}Content-Type: application/json\r\n");
         let target = request.header("target-instance");
@@ -170,7 +188,7 @@
                 let status = self.order(request);
                 http::respond(stream, status, &json, "{}")?;
             }
-            _ => return self.run(stream, request, &name),
+            _ => return self.run(stream, request, &name, is_used),
         }
         Ok(true)
     }
@@ -238,7 +256,13 @@
     }
 
     /// Runs a request: streams events, of which each holds its number.
-    fn run(&self, stream: &mut TcpStream, request: &Request, name: &str) -> io::Result<bool> {
+    fn run(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        name: &str,
+        is_used: bool,
+    ) -> io::Result<bool> {
         let attempt = request.header("attempt-id").to_owned();
         let wanted = request.header("model").to_owned();
         let has = {
@@ -258,6 +282,14 @@
             let id = &self.setup.id;
             self.record.line(&format!("run engine={id} attempt={attempt}"));
             self.runs.lock().expect("unpoisoned").push((self.record.now(), attempt.clone()));
+            let each = self.setup.extra_each;
+            let may_be_met = is_used && each > 0 && self.faulty.load(Ordering::Relaxed);
+            if may_be_met && self.reused.fetch_add(1, Ordering::Relaxed) % each == each - 1 {
+                self.record.line(&format!(
+                    "extra engine={id}: an earlier refusal once more, while attempt={attempt} runs"
+                ));
+                stream.write_all(b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")?;
+            }
             thread::sleep(work);
             self.record.line(&format!("ran engine={id} attempt={attempt} to its end"));
             let head = format!("{name}Attempt-Id: {attempt}\r\nResponse-Signature: sig-{attempt}\r\n");
