review: case 9, a crash during a freeze of a host looks like the end of streams

Cause: an engine whose address accepts a connection is taken for alive when a stream ends with its connection. After a freeze of the host it is the next incarnation of an engine that crashed meanwhile.

The case freezes one of two hosts for 4 s; one of seven engines is killed and back after 2 s.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -11,7 +11,12 @@
     let code = match number {
         "7" => legal_bodies(&record, &settings_dir, is_troubled),
         "8" => withdrawn_key(&record, &settings_dir, is_troubled),
-        "6" => taken_away(&record, &settings_dir, is_troubled),
+        "6" => cut_streams(&record, &settings_dir, if is_troubled { Trouble::TakenAway } else { Trouble::None }),
+        "9" => cut_streams(
+            &record,
+            &settings_dir,
+            if is_troubled { Trouble::CrashWhileFrozen } else { Trouble::None },
+        ),
         _ => 2,
     };
     let _ = fs::remove_dir_all(temporary);
@@ -21,25 +26,33 @@
 
 const MODEL: &str = "Model: m\r\nToken-Counts: 700,400\r\nPrompt-Prefix: 5c1e07a2:200,91bd3f06:500\r\n";
 
-/// An engine is taken away at short notice while it writes streams that end with their connections.
-fn taken_away(record: &Arc<Record>, dir: &str, is_troubled: bool) -> i32 {
+/// What happens to the engine with most streams.
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    /// It is taken away at short notice.
+    TakenAway,
+    /// It crashes and starts again while a host is frozen.
+    CrashWhileFrozen,
+}
+
+/// Engines write streams that end with their connections.
+fn cut_streams(record: &Arc<Record>, dir: &str, trouble: Trouble) -> i32 {
     const EVENTS: u64 = 40;
     let store = Store::start();
     store.put("op/config", &config(1, 220_000, ""));
-    let mut engines: Vec<Engine> = (0..7)
-        .map(|index| {
-            let options = EngineOptions {
-                id: format!("i-{index}"),
-                service: "llm".into(),
-                first_ms: 50,
-                gap_ms: 100,
-                events: EVENTS,
-                is_unframed: true,
-                crashes_on: String::new(),
-            };
-            Engine::start(&store, &options)
+    let options: Vec<EngineOptions> = (0..7)
+        .map(|index| EngineOptions {
+            id: format!("i-{index}"),
+            service: "llm".into(),
+            first_ms: 50,
+            gap_ms: 100,
+            events: EVENTS,
+            is_unframed: true,
+            crashes_on: String::new(),
         })
         .collect();
+    let mut engines: Vec<Engine> = options.iter().map(|it| Engine::start(&store, it)).collect();
     let hosts: Vec<Host> = (0..2)
         .map(|index| {
             Host::start(
@@ -73,15 +86,41 @@
         })
         .collect();
     thread::sleep(ms(300));
-    if is_troubled {
-        let engine = engines.iter_mut().max_by_key(|it| it.lines("run ").len()).expect("an engine");
-        record.line(&format!("notice: {} is taken away in 2000 ms", engine.id));
-        engine.drain(2_000);
-        thread::sleep(ms(2_000));
-        engine.kill();
-        record.line(&format!("gone: {}", engine.id));
+    let most = (0..engines.len())
+        .max_by_key(|index| engines[*index].lines("run ").len())
+        .unwrap_or(0);
+    let mut told = Vec::new();
+    match trouble {
+        Trouble::None => {}
+        Trouble::TakenAway => {
+            let engine = &mut engines[most];
+            record.line(&format!("notice: {} is taken away in 2000 ms", engine.id));
+            engine.drain(2_000);
+            thread::sleep(ms(2_000));
+            engine.kill();
+            record.line(&format!("gone: {}", engine.id));
+        }
+        Trouble::CrashWhileFrozen => {
+            hosts[0].signal("STOP");
+            record.line("front-0 is frozen");
+            thread::sleep(ms(700));
+            let (options, port) = (options[most].clone(), engines[most].port.clone());
+            engines[most].kill();
+            thread::sleep(ms(50));
+            told = engines[most].lines("");
+            record.line(&format!("{} has crashed", options.id));
+            thread::sleep(ms(2_000));
+            engines[most] = Engine::start_at(&store, &options, &port);
+            record.line(&format!("{} is back", options.id));
+            thread::sleep(ms(1_250));
+            hosts[0].signal("CONT");
+            record.line("front-0 goes on, 4000 ms later");
+        }
     }
     let answers: Vec<_> = clients.into_iter().map(|it| it.join().expect("a client")).collect();
+    for line in told.iter().filter(|line| !line.starts_with("event ")) {
+        record.line(&format!("i-{most} told before: {line}"));
+    }
     for engine in &engines {
         for line in engine.lines("run ").iter().chain(&engine.lines("end ")) {
             record.line(&format!("{} told: {line}", engine.id));
