review: case 6 is the crash during a freeze, case 9 before

The case that had the number 6, an engine that is taken away at short notice, is shown by review/3 already and is dropped.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -9,14 +9,11 @@
     fs::create_dir_all(&temporary).expect("a directory");
     let settings_dir = temporary.to_string_lossy().into_owned();
     let code = match number {
+        "6" => cut_streams(&record, &settings_dir, is_troubled),
         "7" => legal_bodies(&record, &settings_dir, is_troubled),
+        "10" => early_drill(&record, &settings_dir, is_troubled),
+        "9" => many_parts(&record, &settings_dir, is_troubled),
         "8" => withdrawn_key(&record, &settings_dir, is_troubled),
-        "6" => cut_streams(&record, &settings_dir, if is_troubled { Trouble::TakenAway } else { Trouble::None }),
-        "9" => cut_streams(
-            &record,
-            &settings_dir,
-            if is_troubled { Trouble::CrashWhileFrozen } else { Trouble::None },
-        ),
         _ => 2,
     };
     let _ = fs::remove_dir_all(temporary);
@@ -26,18 +23,9 @@
 
 const MODEL: &str = "Model: m\r\nToken-Counts: 700,400\r\nPrompt-Prefix: 5c1e07a2:200,91bd3f06:500\r\n";
 
-/// What happens to the engine with most streams.
-#[derive(Clone, Copy, PartialEq)]
-enum Trouble {
-    None,
-    /// It is taken away at short notice.
-    TakenAway,
-    /// It crashes and starts again while a host is frozen.
-    CrashWhileFrozen,
-}
-
-/// Engines write streams that end with their connections.
-fn cut_streams(record: &Arc<Record>, dir: &str, trouble: Trouble) -> i32 {
+/// Engines write streams that end with their connections. One of them crashes and starts again while a
+/// host is frozen.
+fn cut_streams(record: &Arc<Record>, dir: &str, is_troubled: bool) -> i32 {
     const EVENTS: u64 = 40;
     let store = Store::start();
     store.put("op/config", &config(1, 220_000, ""));
@@ -90,32 +78,21 @@
         .max_by_key(|index| engines[*index].lines("run ").len())
         .unwrap_or(0);
     let mut told = Vec::new();
-    match trouble {
-        Trouble::None => {}
-        Trouble::TakenAway => {
-            let engine = &mut engines[most];
-            record.line(&format!("notice: {} is taken away in 2000 ms", engine.id));
-            engine.drain(2_000);
-            thread::sleep(ms(2_000));
-            engine.kill();
-            record.line(&format!("gone: {}", engine.id));
-        }
-        Trouble::CrashWhileFrozen => {
-            hosts[0].signal("STOP");
-            record.line("front-0 is frozen");
-            thread::sleep(ms(700));
-            let (options, port) = (options[most].clone(), engines[most].port.clone());
-            engines[most].kill();
-            thread::sleep(ms(50));
-            told = engines[most].lines("");
-            record.line(&format!("{} has crashed", options.id));
-            thread::sleep(ms(2_000));
-            engines[most] = Engine::start_at(&store, &options, &port);
-            record.line(&format!("{} is back", options.id));
-            thread::sleep(ms(1_250));
-            hosts[0].signal("CONT");
-            record.line("front-0 goes on, 4000 ms later");
-        }
+    if is_troubled {
+        hosts[0].signal("STOP");
+        record.line("front-0 is frozen");
+        thread::sleep(ms(700));
+        let (options, port) = (options[most].clone(), engines[most].port.clone());
+        engines[most].kill();
+        thread::sleep(ms(50));
+        told = engines[most].lines("");
+        record.line(&format!("{} has crashed", options.id));
+        thread::sleep(ms(2_000));
+        engines[most] = Engine::start_at(&store, &options, &port);
+        record.line(&format!("{} is back", options.id));
+        thread::sleep(ms(1_250));
+        hosts[0].signal("CONT");
+        record.line("front-0 goes on, 4000 ms later");
     }
     let answers: Vec<_> = clients.into_iter().map(|it| it.join().expect("a client")).collect();
     for line in told.iter().filter(|line| !line.starts_with("event ")) {
@@ -150,16 +127,81 @@
     }
 }
 
+/// A crowd of callers that comes to each host in each round.
+struct Crowd {
+    callers: usize,
+    /// Memory of an engine for weights.
+    weights_mb: u32,
+    /// Time before each round.
+    calm: Duration,
+    /// Whether the callers ask for a model that no engine has in memory, else for the busy one.
+    wants_rare_model: bool,
+}
+
+/// Writes the request of the caller with a number, for a model, in a round.
+type Writer = dyn Fn(&str, usize, usize) -> String;
+
 /// Many callers come at once with prompts of legal size.
 fn legal_bodies(record: &Arc<Record>, dir: &str, is_troubled: bool) -> i32 {
+    let body = "x".repeat(if is_troubled { 50_000 } else { 600 });
+    let crowd = Crowd {
+        callers: 1_500,
+        weights_mb: 220_000,
+        calm: ms(3_000),
+        wants_rare_model: false,
+    };
+    record.line(&format!("bodies of {} bytes", body.len()));
+    let request = move |model: &str, round: usize, index: usize| {
+        let parts = format!("5c1e07a2:20,91bd3f06:10,{:x}:10", 0x10000 + index);
+        prompt(&format!("n{round}-{index}"), model, 40, &parts, &body)
+    };
+    play_crowds(record, dir, &crowd, &request)
+}
+
+/// Many callers ask at once for a rare model that no engine has in memory, with prompts of very many
+/// short parts.
+fn many_parts(record: &Arc<Record>, dir: &str, is_troubled: bool) -> i32 {
+    let bytes = if is_troubled { 15_800 } else { 60 };
+    let crowd = Crowd {
+        callers: 1_500,
+        weights_mb: 70_000,
+        // Until a host may give orders, no request waits for a model.
+        calm: ms(9_000),
+        wants_rare_model: true,
+    };
+    let mut parts = String::new();
+    let mut count = 0;
+    while parts.len() < bytes {
+        parts.push_str(&format!("{:x}:1,", 0x100 + count));
+        count += 1;
+    }
+    record.line(&format!("prompts of {} parts", count + 1));
+    let request = move |model: &str, round: usize, index: usize| {
+        let parts = format!("{parts}f{index:x}:1");
+        let text = prompt(&format!("n{round}-{index}"), model, count + 1, &parts, "prompt");
+        assert!(text.len() < 16_384);
+        text
+    };
+    play_crowds(record, dir, &crowd, &request)
+}
+
+fn prompt(id: &str, model: &str, tokens: usize, parts: &str, body: &str) -> String {
+    format!(
+        "POST /nudge/{id} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 10000\r\nModel: {model}\r\n\
+         Token-Counts: {tokens},120\r\nPrompt-Prefix: {parts}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Plays three rounds of a crowd against two hosts, and does what the platform does with a process that
+/// exceeds its memory.
+fn play_crowds(record: &Arc<Record>, dir: &str, crowd: &Crowd, request: &Writer) -> i32 {
     const HOSTS: usize = 2;
-    const CROWD: usize = 1_500;
     const MEMORY_MB: u32 = 160;
     const DESCRIPTORS: u32 = 4_100;
     const ROUNDS: usize = 3;
-    let body = Arc::new("x".repeat(if is_troubled { 50_000 } else { 600 }));
     let store = Store::start();
-    store.put("op/config", &config(1, 220_000, ""));
+    store.put("op/config", &config(1, crowd.weights_mb, ""));
     let engine = |id: String, service: &str, first_ms: u64, events: u64| EngineOptions {
         id,
         service: service.into(),
@@ -182,10 +224,18 @@
     let mut ends = [0; HOSTS];
     for round in 0..ROUNDS {
         wait_until("hosts listed", || store.has("mulberryrack/hosts/") == HOSTS);
-        thread::sleep(ms(3_000));
+        thread::sleep(crowd.calm);
+        let is_absent = |model: &String| !store.mentions("servers/", &format!("\"{model}\""));
+        let mut rare = (0..RARE_MODELS).map(|index| format!("rare{index}"));
+        let model = if crowd.wants_rare_model {
+            rare.find(is_absent)
+        } else {
+            Some("m".to_owned())
+        };
+        let Some(model) = model else { return 2 };
         record.line(&format!(
-            "round {round}: {CROWD} callers come to each of {HOSTS} hosts, bodies of {} bytes",
-            body.len()
+            "round {round}: {} callers of {model} come to each of {HOSTS} hosts",
+            crowd.callers
         ));
         let orders: Vec<_> = hosts
             .iter()
@@ -198,26 +248,16 @@
                 })
             })
             .collect();
-        let clients: Vec<_> = (0..CROWD * HOSTS)
+        let clients: Vec<_> = (0..crowd.callers * HOSTS)
             .map(|index| {
                 if index % 40 == 0 {
                     thread::sleep(ms(5));
                 }
-                let (callers, body) = (hosts[index % HOSTS].callers, body.clone());
-                spawn(move || {
-                    let id = format!("n{round}-{index}");
-                    let text = format!(
-                        "POST /nudge/{index} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 10000\r\n\
-                         Model: m\r\nToken-Counts: 40,120\r\nPrompt-Prefix: 5c1e07a2:20,91bd3f06:10,{:x}:10\r\n\
-                         Content-Length: {}\r\n\r\n{body}",
-                        0x10000 + index,
-                        body.len()
-                    );
-                    match call(callers, &text, ms(12_000)) {
-                        Some(answer) if answer.is_complete => format!("{} whole", answer.status),
-                        Some(answer) => format!("{} cut off", answer.status),
-                        None => "none".to_owned(),
-                    }
+                let (callers, text) = (hosts[index % HOSTS].callers, request(&model, round, index));
+                spawn(move || match call(callers, &text, ms(12_000)) {
+                    Some(answer) if answer.is_complete => format!("{} whole", answer.status),
+                    Some(answer) => format!("{} cut off", answer.status),
+                    None => "none".to_owned(),
                 })
             })
             .collect();
@@ -362,3 +402,77 @@
         (_, true) => 1,
     }
 }
+
+/// All processes are killed in the first seconds of a deployment, and the store comes back from a copy that
+/// is older than the deployment.
+fn early_drill(record: &Arc<Record>, dir: &str, is_troubled: bool) -> i32 {
+    let store = Store::start();
+    store.set_era(1);
+    store.put("op/config", &config(1, 220_000, ""));
+    let engines: Vec<Engine> = (0..6)
+        .map(|index| {
+            let options = EngineOptions {
+                id: format!("i-{index}"),
+                service: "llm".into(),
+                first_ms: 50,
+                gap_ms: 50,
+                events: 4,
+                is_unframed: false,
+                crashes_on: String::new(),
+            };
+            Engine::start(&store, &options)
+        })
+        .collect();
+    let copy = store.copy();
+    record.line("the copy is of this moment, before the processes start");
+    thread::sleep(ms(2_500));
+    let mut hosts: Vec<Host> = (0..2)
+        .map(|index| {
+            let name = format!("front-{index}");
+            Host::start(dir, &name, &settings(&name, &store, 260, 4_100, ""))
+        })
+        .collect();
+    let orders = || engines.iter().map(|it| it.lines("order ").len()).sum::<usize>();
+    wait_until("the first orders", || orders() >= 3);
+    thread::sleep(ms(500));
+    record.line(&format!("{} orders were given", orders()));
+    if is_troubled {
+        for host in &mut hosts {
+            host.kill();
+        }
+        record.line("both processes are killed; the store is away");
+        store.set_down(true);
+        thread::sleep(ms(700));
+        store.restore(copy);
+        store.set_down(false);
+        record.line("the store is back from the copy, Store-Era 2; the operator's and the engines' writes come again");
+        store.put("op/config", &config(1, 220_000, ""));
+        for host in &mut hosts {
+            host.restart();
+        }
+    }
+    let before = orders();
+    let until = Instant::now() + ms(40_000);
+    while Instant::now() < until && orders() < before + 5 {
+        thread::sleep(ms(50));
+    }
+    let mut broken = 0;
+    for engine in &engines {
+        let mut highest = 0;
+        for line in engine.lines("order ") {
+            record.line(&format!("{} told: {line}", engine.id));
+            let order = Json::parse(line.splitn(3, ' ').nth(2).unwrap_or("")).unwrap_or(Json::Null);
+            let token = order.number("fencing-token");
+            if token < highest {
+                broken += 1;
+                record.line(&format!("BROKEN: {} gets the fencing token {token} after {highest}", engine.id));
+            }
+            highest = token.max(highest);
+        }
+    }
+    record.line(&format!(
+        "{} orders, {broken} with a lower fencing token after a higher one",
+        orders()
+    ));
+    i32::from(broken > 0)
+}
