review: a case that can't go on ends the processes that it started

A wait that was given up ended the program at once and left its processes. It unwinds now and exits with 2.

--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -22,7 +22,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let code = match arguments.first().map(String::as_str) {
         Some("engine") => engine_process(&arguments[1..]),
-        Some("case") => cases::run(&arguments[1], &arguments[2]),
+        Some("case") => std::panic::catch_unwind(|| cases::run(&arguments[1], &arguments[2])).unwrap_or(2),
         _ => 2,
     };
     std::process::exit(code);
@@ -969,8 +969,8 @@
     let end = Instant::now() + ms(20_000);
     while !condition() {
         if Instant::now() > end {
-            eprintln!("gave up waiting for: {what}");
-            std::process::exit(2);
+            // The processes that were started end as their owners are dropped.
+            panic!("gave up waiting for: {what}");
         }
         thread::sleep(ms(10));
     }
