Edge: log when a request was read, decided on, connected and written

Three explanations for a second between a caller's sending and the arrival at the upstream could not be told apart: thread-late was measured four times a second and logged from 250 ms on, and no line had the times of a dispatch. sent has them now; thread-late is measured ten times a second and logged from 100 ms on.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -4,7 +4,7 @@
     admission,
     bounds::{self, BodyError, Collector},
     endpoint,
-    exchange::{self, Part, Recipient},
+    exchange::{self, Admitted, Part, Recipient},
     holdings::{HeldBytes, RequestHold, Seat},
     journal::journal,
     meter::{Meter, Metered},
@@ -66,6 +66,23 @@
     idle_timeout: Duration::from_secs(15),
 };
 
+/// When the head of a request was read.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    read_at: Time,
+    /// How late the thread was then.
+    late: Duration,
+}
+
+impl Arrival {
+    fn now<D>(shared: &Shared<D>) -> Self {
+        Self {
+            read_at: shared.clock.now(),
+            late: shared.lateness.now(),
+        }
+    }
+}
+
 /// The answer broke off after its head was sent to the caller.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerAborted;
@@ -345,8 +362,8 @@
         link: Rc<PlannerLink>,
         request: Request<Incoming>,
     ) -> Response<AnswerBody> {
-        let arrived_at = shared.clock.now();
-        shared.last_request.set(arrived_at);
+        let arrival = Arrival::now(&shared);
+        shared.last_request.set(arrival.read_at);
         let (head, mut body) = request.into_parts();
         let limits = limits(&shared);
         self.meter.allow(request_allowance(&limits));
@@ -366,7 +383,7 @@
             Ok((mut hold, (request_head, charge), body)) => {
                 self.seat.set_phase(Phase::Serving);
                 let request = (head, request_head, body, charge);
-                let served = admit_and_serve(&shared, link, arrived_at, request, Some(&mut hold));
+                let served = admit_and_serve(&shared, link, arrival, request, Some(&mut hold));
                 (served.await, Some(hold))
             }
             Err(refusal) => {
@@ -504,8 +521,8 @@
     meter: &Meter,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let arrived_at = shared.clock.now();
-    shared.last_request.set(arrived_at);
+    let arrival = Arrival::now(&shared);
+    shared.last_request.set(arrival.read_at);
     let (head, body) = request.into_parts();
     let limits = limits(&shared);
     meter.allow(request_allowance(&limits));
@@ -515,7 +532,7 @@
         (Ok(request_head), Ok(body)) => match admission::check_head(&shared, &request_head) {
             Ok(charge) => {
                 let request = (head, request_head, body, charge);
-                admit_and_serve(&shared, link, arrived_at, request, None).await
+                admit_and_serve(&shared, link, arrival, request, None).await
             }
             Err(refusal) => refuse(&shared, &request_head.attempt_id, refusal),
         },
@@ -588,13 +605,12 @@
     response
 }
 
-/// Serves a request whose head had arrived at `arrived_at`: the caller's timeout runs while the
-/// body arrives. Its head has been checked, once; the gate checks its route against the
+/// Serves a request whose head has arrived: the caller's timeout runs while the body arrives. Its head has been checked, once; the gate checks its route against the
 /// configuration that is in force now.
 async fn admit_and_serve<D: Dialect>(
     shared: &Rc<Shared<D>>,
     link: Rc<PlannerLink>,
-    arrived_at: Time,
+    arrival: Arrival,
     (head, request_head, body, charge): (request::Parts, RequestHead, Bytes, Option<Charge<D>>),
     hold: Option<&mut RequestHold>,
 ) -> Response<AnswerBody> {
@@ -604,7 +620,7 @@
     let admitted = shared
         .gate
         .borrow_mut()
-        .admit(arrived_at, request_head, fingerprint);
+        .admit(arrival.read_at, request_head, fingerprint);
     let state = match admitted {
         Ok(state) => state,
         Err(refusal) => return refuse(shared, &attempt, refusal),
@@ -618,13 +634,17 @@
     }
     let (parts, mut taken) = mpsc::channel(PART_QUEUE_LENGTH);
     let caller = Recipient::new(parts, hold.as_ref().map(|hold| hold.seat()));
+    let admitted = Admitted {
+        state,
+        charge,
+        read_late: arrival.late,
+    };
     task::spawn_local(exchange::run(
         shared.clone(),
         link,
         head,
         body,
-        state,
-        charge,
+        admitted,
         caller,
     ));
     match taken.recv().await {
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -128,6 +128,11 @@
         self.meter.read_state()
     }
 
+    /// Time at which the first byte of the last request was written; `None` if none was.
+    pub fn written_at(&self) -> Option<Instant> {
+        self.meter.written_at()
+    }
+
     /// How a call failed whose connection ended: the remote side may have sent too much.
     pub fn fault(&self) -> Fault {
         if self.meter.is_exceeded() {
@@ -148,6 +153,7 @@
         request: Request<Bytes>,
     ) -> Result<(response::Parts, Incoming), Fault> {
         self.meter.allow(bounds::HEAD_ALLOWANCE);
+        self.meter.expect_write();
         let sender = self.sender.as_mut().ok_or(Fault::NotSent)?;
         sender.ready().await.map_err(|_| Fault::NotSent)?;
         match sender.try_send_request(request.map(Full::new)).await {
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -23,6 +23,11 @@
         Time::ZERO + self.start.elapsed()
     }
 
+    /// The time at a moment on the runtime's clock.
+    pub fn time(self, instant: Instant) -> Time {
+        Time::ZERO + instant.saturating_duration_since(self.start)
+    }
+
     /// The same moment on the runtime's clock.
     pub fn instant(self, time: Time) -> Instant {
         self.start + Duration::from_micros(time.as_micros())
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -76,10 +76,23 @@
     first_event_after: Option<Duration>,
     /// The last error answer of an upstream, for the caller if no other answer comes.
     error_answer: Option<Response<HeldBytes>>,
+    /// Times of the last dispatch.
+    send_times: SendTimes,
     /// How the answer to the last dispatch was read; `None` if it had no head.
     body_read: Option<BodyRead>,
 }
 
+/// Times of one dispatch, for the log; `None` for a step that was not reached.
+#[derive(Clone, Copy, Debug, Default)]
+struct SendTimes {
+    /// The upstream was selected.
+    selected: Option<Time>,
+    /// There was a connection to it.
+    connected: Option<Time>,
+    /// The first byte was written.
+    written: Option<Time>,
+}
+
 /// A request together with the state of its answer.
 struct Exchange<D> {
     shared: Rc<Shared<D>>,
@@ -89,6 +102,18 @@
     progress: Progress,
     /// Whether the request is at an upstream, or on the way there.
     is_dispatched: bool,
+    /// How late the thread was when it read the head of the request.
+    read_late: Duration,
+}
+
+/// A request that was admitted.
+pub struct Admitted<D> {
+    /// The state of the request in the gate.
+    pub state: RequestState,
+    /// What it has charged its organisation's quota.
+    pub charge: Option<Charge<D>>,
+    /// How late the thread was when it read the head of the request.
+    pub read_late: Duration,
 }
 
 /// Serves a request until its caller has the final answer or has gone away.
@@ -97,10 +122,14 @@
     link: Rc<PlannerLink>,
     head: request::Parts,
     body: Bytes,
-    mut state: RequestState,
-    charge: Option<Charge<D>>,
+    admitted: Admitted<D>,
     caller: Recipient,
 ) {
+    let Admitted {
+        mut state,
+        charge,
+        read_late,
+    } = admitted;
     shared.open_requests.set(shared.open_requests.get() + 1);
     shared.metrics.open_requests.inc();
     let mut exchange = Exchange {
@@ -110,6 +139,7 @@
         caller,
         progress: Progress::default(),
         is_dispatched: false,
+        read_late,
     };
     let is_answered = {
         let serve = exchange.serve(&mut state, &link);
@@ -150,6 +180,10 @@
             match decision {
                 Decision::Dispatch(target) => {
                     self.is_dispatched = true;
+                    self.progress.send_times = SendTimes {
+                        selected: Some(now),
+                        ..SendTimes::default()
+                    };
                     let end = self.dispatch(state, &target).await;
                     match end {
                         DispatchEnd::Finished(ending) => {
--- a/crates/edge/src/exchange/dispatch.rs
+++ b/crates/edge/src/exchange/dispatch.rs
@@ -15,6 +15,7 @@
     Dialect,
     request::{Dispatch, Identity},
 };
+use std::cell::Cell;
 use tokio::time;
 
 impl<D: Dialect> Exchange<D> {
@@ -30,16 +31,20 @@
             name: target.name.clone(),
         };
         let client = self.shared.client.clone();
+        let (connected, written) = (Cell::new(None), Cell::new(None));
         let answered = async {
             let mut connection = client.connect(remote, target.retry.is_some()).await?;
             // What is left of the timeout counts from when the request is sent.
             let sent_at = self.shared.clock.now();
+            connected.set(Some(sent_at));
             // The key may have been removed, or the host suspended, while connecting.
             let Ok((_, identity)) = admission::check_key(&self.shared, state) else {
                 return Ok(None);
             };
             let request = self.upstream_request(state, target, sent_at, identity);
-            let (head, body) = connection.send(request).await?;
+            let sent = connection.send(request).await;
+            written.set(connection.written_at());
+            let (head, body) = sent?;
             Ok(Some((connection, head, body)))
         };
         let answered = tokio::select! {
@@ -47,6 +52,9 @@
             () = self.caller.closed() => return DispatchEnd::Finished(Ending::Abandoned),
             () = self.wait_for_silence(state, target, now) => Err(Fault::Silent),
         };
+        let times = &mut self.progress.send_times;
+        times.connected = connected.get();
+        times.written = written.get().map(|at| self.shared.clock.time(at));
         let (connection, response, body) = match answered {
             Ok(Some(answered)) => answered,
             Ok(None) => return DispatchEnd::Retryable(Ending::Withdrawn, Retry::Refused),
--- a/crates/edge/src/exchange/ending.rs
+++ b/crates/edge/src/exchange/ending.rs
@@ -2,7 +2,10 @@
 
 use super::Exchange;
 use crate::{crashes, fairness_metrics, journal::journal, permits, speeds, suspects};
-use mulberryrack_core::outcome::{Reason, Retry};
+use mulberryrack_core::{
+    Time,
+    outcome::{Reason, Retry},
+};
 use mulberryrack_gate::{Ending, RequestState, Target};
 use mulberryrack_site::Dialect;
 use mulberryrack_suspect::Subject;
@@ -48,6 +51,11 @@
                 .record_retry(target.retry.map_or("none", Retry::label));
         }
         let limit = self.shared.gate.borrow().limit(target.id);
+        let times = self.progress.send_times;
+        let after = |at: Option<Time>| {
+            let after = at.map(|at| at.since(state.arrived_at).as_millis());
+            after.map_or_else(|| "-".to_owned(), |ms| ms.to_string())
+        };
         let (running, waiting, age) = target.load_report.map_or((0, 0, 0), |(load, age)| {
             (load.running, load.waiting, age.as_millis())
         });
@@ -82,6 +90,10 @@
                 .body_read
                 .map_or("-", |it| it.read_state.label()),
             unfinished_bytes = self.progress.body_read.map_or(0, |it| it.unfinished_bytes),
+            read_late_ms = self.read_late.as_millis(),
+            decided_ms = after(times.selected),
+            connected_ms = after(times.connected),
+            written_ms = after(times.written),
             ending = format_args!("{ending:?}"),
             took_ms = self.elapsed(state).as_millis(),
         );
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -7,7 +7,8 @@
     endpoint, freshness,
     holdings::{Holdings, Places},
     journal::journal,
-    lateness, lease_extension, membership,
+    lateness::{self, Lateness},
+    lease_extension, membership,
     metrics::Metrics,
     notices, orders,
     peers::{self, PlannerLink},
@@ -137,6 +138,7 @@
         next_preview: Cell::new(Time::ZERO),
         last_request: Cell::new(Time::ZERO),
         caller_connections: Cell::new(0),
+        lateness: Lateness::new(),
         holdings,
         settings,
     })
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -2,20 +2,52 @@
 //! answer is at least as late.
 
 use crate::{journal::journal, shared::Shared};
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::{self, Instant};
 
 /// Interval between two measurements.
-const INTERVAL: Duration = Duration::from_millis(250);
+const INTERVAL: Duration = Duration::from_millis(100);
 /// Lateness from which on it is logged.
-const NOTABLE_LATENESS: Duration = Duration::from_millis(250);
+const NOTABLE_LATENESS: Duration = Duration::from_millis(100);
 
-/// Measures until the process ends.
-pub async fn run<D>(shared: Rc<Shared<D>>) {
-    loop {
+/// How late the host's thread is.
+#[derive(Debug)]
+pub struct Lateness {
+    /// Time of the next measurement.
+    due: Cell<Instant>,
+    /// What the last measurement has shown.
+    last: Cell<Duration>,
+}
+
+impl Lateness {
+    /// A thread that is not late, from now on.
+    pub fn new() -> Self {
+        Self {
+            due: Cell::new(Instant::now()),
+            last: Cell::default(),
+        }
+    }
+
+    /// Longest time for which what the thread reads now may have waited for it. A measurement that
+    /// is due counts, too: what has waited with it may be read first.
+    pub fn now(&self) -> Duration {
+        self.last.get().max(self.due.get().elapsed())
+    }
+
+    async fn measure(&self) -> Duration {
         let due = Instant::now() + INTERVAL;
+        self.due.set(due);
         time::sleep_until(due).await;
         let late = due.elapsed();
+        self.last.set(late);
+        late
+    }
+}
+
+/// Measures until the process ends.
+pub async fn run<D>(shared: Rc<Shared<D>>) {
+    loop {
+        let late = shared.lateness.measure().await;
         shared.metrics.record_lateness(late);
         if late >= NOTABLE_LATENESS {
             journal!(warn, "thread-late", late_ms = late.as_millis());
--- a/crates/edge/src/meter.rs
+++ b/crates/edge/src/meter.rs
@@ -9,7 +9,10 @@
     rc::Rc,
     task::{Context, Poll, ready},
 };
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::Instant,
+};
 
 /// How far a connection has been read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,6 +45,8 @@
     exceeded: Rc<Cell<bool>>,
     /// What the last read has shown.
     read_state: Rc<Cell<ReadState>>,
+    /// Time of the first write since [`Meter::expect_write`].
+    written_at: Rc<Cell<Option<Instant>>>,
 }
 
 impl Meter {
@@ -55,6 +60,22 @@
         self.exceeded.get()
     }
 
+    /// Begins to wait for the first byte that is written next.
+    pub fn expect_write(&self) {
+        self.written_at.set(None);
+    }
+
+    /// Time at which the first byte was written since [`Meter::expect_write`]; `None` if none was.
+    pub fn written_at(&self) -> Option<Instant> {
+        self.written_at.get()
+    }
+
+    fn record_written(&self) {
+        if self.written_at.get().is_none() {
+            self.written_at.set(Some(Instant::now()));
+        }
+    }
+
     /// How far the connection has been read.
     pub fn read_state(&self) -> ReadState {
         self.read_state.get()
@@ -90,6 +111,7 @@
             left: Rc::new(Cell::new(bytes)),
             exceeded: Rc::default(),
             read_state: Rc::default(),
+            written_at: Rc::default(),
         };
         let metered = Self {
             stream,
@@ -113,6 +135,9 @@
     }
 
     fn record_write(&mut self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(_)) = written {
+            self.meter.record_written();
+        }
         let is_blocked = written.is_pending();
         if is_blocked != self.is_blocked
             && let Some(seat) = &self.seat
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     client::Client, clock::Clock, eras::Unconfirmed, freshness::ConfigFreshness,
-    holdings::Holdings, metrics::Metrics, permits::Asked, proofs::Proofs,
+    holdings::Holdings, lateness::Lateness, metrics::Metrics, permits::Asked, proofs::Proofs,
     registration::Registration, store::Store, usage::Usage,
 };
 use mulberryrack_core::{
@@ -115,6 +115,8 @@
     pub last_request: Cell<Time>,
     /// Number of open connections of callers.
     pub caller_connections: Cell<usize>,
+    /// How late the thread is.
+    pub lateness: Lateness,
     /// What is held for callers; `None` if the settings name no memory.
     pub holdings: Option<Rc<Holdings>>,
 }
