Edge: the time before the read counts towards a request's time-out

Callers were held past their route's time-out by a host whose thread was late, and upstreams were handed more time than was left: the time-out counted from when the head was read, however long it had been there. It now counts from the earliest time at which the request may have arrived: earlier by the thread's lateness, for a first request from when its connection was opened.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -44,6 +44,13 @@
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The moment `duration` before this one; [`Time::ZERO`] if that is before the process started.
+    #[must_use]
+    pub fn saturating_sub(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Time {
--- a/crates/daemon/tests/late_reads.rs
+++ b/crates/daemon/tests/late_reads.rs
@@ -103,7 +103,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: the time before the read is not counted"]
 fn requests_that_waited_for_the_thread_are_handed_and_held_no_longer_than_their_time_out() {
     let site = Site::start(hold);
     let sent_at = Instant::now();
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -75,10 +75,39 @@
 }
 
 impl Arrival {
-    fn now<D>(shared: &Shared<D>) -> Self {
+    /// The arrival of a request whose head is read now.
+    fn now<D>(shared: &Shared<D>, opening: &Opening) -> Self {
+        let read_at = shared.clock.now();
+        let late = if opening.is_first_turn.get() {
+            read_at.since(opening.opened_at)
+        } else {
+            shared.lateness.now()
+        };
+        Self { read_at, late }
+    }
+
+    /// Time from which the caller's timeout counts.
+    fn arrived_at(self) -> Time {
+        self.read_at.saturating_sub(self.late)
+    }
+}
+
+/// The beginning of a connection. A first request that is there in the first turn of its task may
+/// have waited since the connection was opened.
+#[derive(Debug)]
+struct Opening {
+    /// Earliest time at which the connection may have been opened.
+    opened_at: Time,
+    is_first_turn: Cell<bool>,
+}
+
+impl Opening {
+    /// The beginning of a connection that was accepted now.
+    fn accepted<D>(shared: &Shared<D>) -> Self {
+        let accepted_at = shared.clock.now();
         Self {
-            read_at: shared.clock.now(),
-            late: shared.lateness.now(),
+            opened_at: accepted_at.saturating_sub(shared.lateness.now()),
+            is_first_turn: Cell::new(true),
         }
     }
 }
@@ -176,7 +205,9 @@
                 if let Ok(seat) = take_place(&shared) {
                     let open = shared.caller_connections.get();
                     shared.caller_connections.set(open + 1);
-                    let connection = serve_connection(shared.clone(), link.clone(), stream, seat);
+                    let opening = Opening::accepted(&shared);
+                    let connection =
+                        serve_connection(shared.clone(), link.clone(), stream, seat, opening);
                     task::spawn_local(connection);
                 }
             }
@@ -239,6 +270,7 @@
     link: Rc<PlannerLink>,
     stream: TcpStream,
     seat: Option<Rc<Seat>>,
+    opening: Opening,
 ) {
     let limits = limits(&shared);
     if seat.is_some()
@@ -254,14 +286,17 @@
     let service = service_fn(|request| {
         let (shared, link, meter) = (shared.clone(), link.clone(), meter.clone());
         let (seat, is_refused_early) = (seat.clone(), &is_refused_early);
+        let opening = &opening;
         // hyper gives a connection back only if the service's futures can be moved.
         Box::pin(async move {
             let Some(seat) = seat else {
-                return Ok::<_, Infallible>(serve_request(shared, link, &meter, request).await);
+                let served = serve_request(shared, link, &meter, opening, request);
+                return Ok::<_, Infallible>(served.await);
             };
             let bounded = BoundedRequest {
                 meter: &meter,
                 seat,
+                opening,
                 is_refused_early,
             };
             Ok(bounded.serve(shared, link, request).await)
@@ -283,7 +318,11 @@
             Pin::new(&mut served).graceful_shutdown();
         }
         tokio::select! {
-            ended = future::poll_fn(|context| served.poll_without_shutdown(context)) => {
+            ended = future::poll_fn(|context| {
+                let polled = served.poll_without_shutdown(context);
+                opening.is_first_turn.set(false);
+                polled
+            }) => {
                 if let Err(error) = ended {
                     journal!(debug, "caller-connection-broken", error = error);
                 }
@@ -338,6 +377,7 @@
 struct BoundedRequest<'a> {
     meter: &'a Meter,
     seat: Rc<Seat>,
+    opening: &'a Opening,
     /// Set if the request is refused while its caller may still be sending.
     is_refused_early: &'a Cell<bool>,
 }
@@ -362,7 +402,7 @@
         link: Rc<PlannerLink>,
         request: Request<Incoming>,
     ) -> Response<AnswerBody> {
-        let arrival = Arrival::now(&shared);
+        let arrival = Arrival::now(&shared, self.opening);
         shared.last_request.set(arrival.read_at);
         let (head, mut body) = request.into_parts();
         let limits = limits(&shared);
@@ -519,9 +559,10 @@
     shared: Rc<Shared<D>>,
     link: Rc<PlannerLink>,
     meter: &Meter,
+    opening: &Opening,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let arrival = Arrival::now(&shared);
+    let arrival = Arrival::now(&shared, opening);
     shared.last_request.set(arrival.read_at);
     let (head, body) = request.into_parts();
     let limits = limits(&shared);
@@ -605,7 +646,8 @@
     response
 }
 
-/// Serves a request whose head has arrived: the caller's timeout runs while the body arrives. Its head has been checked, once; the gate checks its route against the
+/// Serves a request whose head has arrived: the caller's timeout runs while the request waits for
+/// the thread and while the body arrives. Its head has been checked, once; the gate checks its route against the
 /// configuration that is in force now.
 async fn admit_and_serve<D: Dialect>(
     shared: &Rc<Shared<D>>,
@@ -620,7 +662,7 @@
     let admitted = shared
         .gate
         .borrow_mut()
-        .admit(arrival.read_at, request_head, fingerprint);
+        .admit(arrival.arrived_at(), request_head, fingerprint);
     let state = match admitted {
         Ok(state) => state,
         Err(refusal) => return refuse(shared, &attempt, refusal),
