Edge: connections to upstreams and the store are driven by their users

A host whose thread is late applied changes, and wrote requests, long after it could have: each connection had a task of its own, so that a call went through the queue of the thread once more to be written, to have its head read, and for each part of its body. A kept connection cost a turn more, in which its task could notice its end. The answer to a watch took up to six turns until its changes were in force; a request was read and admitted in one, by the configuration before.

Whoever waits for a connection now drives it: the first byte is written in the turn of the last check, and what has arrived is read in one turn. The kernel is asked whether a kept connection has ended.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -2,26 +2,33 @@
 //! connections.
 
 use crate::{
-    bounds::{self, BodyError},
+    bounds::{self, Collector},
     journal::journal,
     meter::{Meter, Metered, ReadState},
-    socket::{self, SocketPlace, Sockets},
+    socket::{self, SharedStream, SocketPlace, Sockets},
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
+    body::{Frame, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use mulberryrack_core::Name;
 use std::{
-    cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration,
+    cell::RefCell,
+    collections::HashMap,
+    future,
+    io::ErrorKind,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
 };
 use tokio::{
     net::TcpStream,
-    task::{self, AbortHandle},
     time::{self, Instant},
 };
 
@@ -50,7 +57,7 @@
 /// What a new connection shows about the remote side.
 pub enum Probe {
     /// The connection was accepted.
-    Accepted(Connection),
+    Accepted(Box<Connection>),
     /// The address refuses connections: no process listens there.
     Refused,
     /// No answer in time, or another error.
@@ -67,10 +74,11 @@
     pub name: Name,
 }
 
+/// All places for connections are taken.
+struct NoSocket;
+
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-    meter: Meter,
+    link: Link,
     expires_at: Instant,
 }
 
@@ -82,60 +90,100 @@
     sockets: Option<Sockets>,
 }
 
-/// A connection in use. Dropping it closes the connection.
-pub struct Connection {
-    client: Rc<Client>,
-    remote: Remote,
-    sender: Option<SendRequest<Full<Bytes>>>,
-    task: AbortHandle,
+/// An open connection. It has no task of its own: whoever waits for something of it drives it, so
+/// that a request is written in the turn of the thread in which it is sent, and an answer is read in
+/// the turn in which it is waited for. Dropping it closes the connection.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    /// Writes and reads; `None` once the connection has ended.
+    driver: Option<Driver>,
+    stream: SharedStream,
     meter: Meter,
+    _place: Option<SocketPlace>,
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        if self.sender.is_some() {
-            self.task.abort();
+type Driver = http1::Connection<TokioIo<Metered<SharedStream>>, Full<Bytes>>;
+
+impl Link {
+    /// Writes and reads what can be at the moment.
+    fn drive(&mut self, context: &mut Context<'_>) {
+        if let Some(driver) = &mut self.driver
+            && Pin::new(driver).poll(context).is_ready()
+        {
+            // The call that uses the connection gets its errors.
+            self.driver = None;
         }
     }
+
+    /// Drives the connection until a future is ready that waits for it.
+    async fn drive_until<F: Future>(&mut self, awaited: F) -> F::Output {
+        let mut awaited = pin!(awaited);
+        future::poll_fn(|context| {
+            if let Poll::Ready(output) = awaited.as_mut().poll(context) {
+                return Poll::Ready(output);
+            }
+            self.drive(context);
+            awaited.as_mut().poll(context)
+        })
+        .await
+    }
+
+    /// Whether an idle connection can take a request.
+    async fn is_usable(&mut self) -> bool {
+        if !self.stream.is_quiet() {
+            return false;
+        }
+        // Lets hyper notice that the last answer was read.
+        future::poll_fn(|context| {
+            self.drive(context);
+            Poll::Ready(())
+        })
+        .await;
+        self.driver.is_some() && self.sender.is_ready()
+    }
+}
+
+/// A connection in use. Dropping it closes the connection.
+pub struct Connection {
+    client: Rc<Client>,
+    remote: Remote,
+    link: Link,
 }
 
 impl Connection {
     /// Returns the connection to the pool for a later call. `keep_alive` is the time for
     /// which the remote side keeps an idle connection, if it names one.
-    pub fn return_to_pool(mut self, keep_alive: Option<Duration>) {
+    pub fn return_to_pool(self, keep_alive: Option<Duration>) {
         let idle = keep_alive.map_or(IDLE_TIMEOUT, |named| named.saturating_sub(IDLE_MARGIN));
-        if let (Some(sender), false) = (self.sender.take(), idle.is_zero()) {
-            let kept = IdleConnection {
-                sender,
-                task: self.task.clone(),
-                meter: self.meter.clone(),
-                expires_at: Instant::now() + idle,
-            };
-            let mut all = self.client.idle.borrow_mut();
-            all.entry(self.remote.clone()).or_default().push(kept);
-        } else {
-            self.task.abort();
+        if self.link.driver.is_none() || idle.is_zero() {
+            return;
         }
+        let kept = IdleConnection {
+            link: self.link,
+            expires_at: Instant::now() + idle,
+        };
+        let mut all = self.client.idle.borrow_mut();
+        all.entry(self.remote).or_default().push(kept);
     }
 
     /// Allows `bytes` to be read for the body of the answer.
     pub fn allow(&self, bytes: u64) {
-        self.meter.allow(bytes);
+        self.link.meter.allow(bytes);
     }
 
     /// How far the connection has been read.
     pub fn read_state(&self) -> ReadState {
-        self.meter.read_state()
+        self.link.meter.read_state()
     }
 
     /// Time at which the first byte of the last request was written; `None` if none was.
     pub fn written_at(&self) -> Option<Instant> {
-        self.meter.written_at()
+        self.link.meter.written_at()
     }
 
     /// How a call failed whose connection ended: the remote side may have sent too much.
     pub fn fault(&self) -> Fault {
-        if self.meter.is_exceeded() {
+        if self.link.meter.is_exceeded() {
             Fault::Excessive
         } else {
             Fault::Broken
@@ -152,11 +200,20 @@
         &mut self,
         request: Request<Bytes>,
     ) -> Result<(response::Parts, Incoming), Fault> {
-        self.meter.allow(bounds::HEAD_ALLOWANCE);
-        self.meter.expect_write();
-        let sender = self.sender.as_mut().ok_or(Fault::NotSent)?;
-        sender.ready().await.map_err(|_| Fault::NotSent)?;
-        match sender.try_send_request(request.map(Full::new)).await {
+        self.link.meter.allow(bounds::HEAD_ALLOWANCE);
+        self.link.meter.expect_write();
+        future::poll_fn(|context| {
+            let polled = self.link.sender.poll_ready(context);
+            if polled.is_ready() {
+                return polled;
+            }
+            self.link.drive(context);
+            self.link.sender.poll_ready(context)
+        })
+        .await
+        .map_err(|_| Fault::NotSent)?;
+        let answered = self.link.sender.try_send_request(request.map(Full::new));
+        match self.link.drive_until(answered).await {
             Ok(response) => Ok(response.into_parts()),
             // hyper returns the request if no byte of it was written.
             Err(mut error) => match error.take_message() {
@@ -198,13 +255,25 @@
     ///
     /// [`Fault::Excessive`] if the remote side sends more, [`Fault::Broken`] if the connection
     /// ends before.
-    pub async fn read_body(&self, body: Incoming, max_bytes: usize) -> Result<Bytes, Fault> {
-        self.meter.allow(bounds::body_allowance(max_bytes));
-        let body = bounds::read_body(body, max_bytes).await;
-        body.map_err(|error| match error {
-            BodyError::Excessive => Fault::Excessive,
-            BodyError::Broken => self.fault(),
-        })
+    pub async fn read_body(
+        &mut self,
+        mut body: Incoming,
+        max_bytes: usize,
+    ) -> Result<Bytes, Fault> {
+        self.link.meter.allow(bounds::body_allowance(max_bytes));
+        let mut collector = Collector::new(max_bytes);
+        while let Some(frame) = self.frame(&mut body).await {
+            let frame = frame.map_err(|_| self.fault())?;
+            if let Some(piece) = frame.data_ref() {
+                collector.push(piece).map_err(|_| Fault::Excessive)?;
+            }
+        }
+        Ok(collector.finish())
+    }
+
+    /// Reads the next part of the body of an answer; `None` at its end.
+    pub async fn frame(&mut self, body: &mut Incoming) -> Option<hyper::Result<Frame<Bytes>>> {
+        self.link.drive_until(body.frame()).await
     }
 }
 
@@ -217,18 +286,17 @@
         }
     }
 
-    /// Takes a place for a connection, if needed that of an idle one. `None` if there is none.
-    async fn take_socket(&self) -> Option<Option<SocketPlace>> {
+    /// Takes a place for a connection, if needed that of an idle one; no place is needed without a
+    /// bound.
+    fn take_socket(&self) -> Result<Option<SocketPlace>, NoSocket> {
         let Some(sockets) = &self.sockets else {
-            return Some(None);
+            return Ok(None);
         };
         if let Some(place) = sockets.take() {
-            return Some(Some(place));
+            return Ok(Some(place));
         }
         self.close_one_idle();
-        // Lets the task of that connection end.
-        task::yield_now().await;
-        sockets.take().map(Some)
+        sockets.take().map(Some).ok_or(NoSocket)
     }
 
     /// Closes the idle connection that expires first.
@@ -240,22 +308,17 @@
         };
         let first = (0..kept.len()).min_by_key(|index| kept[*index].expires_at);
         if let Some(index) = first {
-            kept.swap_remove(index).task.abort();
+            kept.swap_remove(index);
         }
         all.retain(|_, kept| !kept.is_empty());
     }
 
-    /// Closes idle connections that have expired or that the remote side has closed.
+    /// Closes idle connections that have expired. One that the remote side has closed is found when it
+    /// is taken for a call.
     pub fn close_expired(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, all| {
-            all.retain(|idle| {
-                let keep = idle.expires_at > now && !idle.sender.is_closed();
-                if !keep {
-                    idle.task.abort();
-                }
-                keep
-            });
+            all.retain(|idle| idle.expires_at > now);
             !all.is_empty()
         });
     }
@@ -272,30 +335,22 @@
         remote: Remote,
         force_new: bool,
     ) -> Result<Connection, Fault> {
-        if !force_new && self.has_idle(&remote) {
-            // Lets the tasks of the idle connections read what has arrived, above all the
-            // end of a connection: a request on a connection that the remote side has
-            // closed is lost.
-            task::yield_now().await;
-        }
-        if !force_new && let Some(idle) = self.take_idle(&remote) {
+        if !force_new && let Some(link) = self.take_idle(&remote).await {
             return Ok(Connection {
                 client: self.clone(),
                 remote,
-                sender: Some(idle.sender),
-                task: idle.task,
-                meter: idle.meter,
+                link,
             });
         }
         match self.probe(remote).await {
-            Probe::Accepted(connection) => Ok(connection),
+            Probe::Accepted(connection) => Ok(*connection),
             Probe::Refused | Probe::Unknown => Err(Fault::NotSent),
         }
     }
 
     /// Opens a new connection and says what that shows about the remote side.
     pub async fn probe(self: &Rc<Self>, remote: Remote) -> Probe {
-        let Some(place) = self.take_socket().await else {
+        let Ok(place) = self.take_socket() else {
             journal!(warn, "no-socket", upstream = remote.name);
             return Probe::Unknown;
         };
@@ -303,7 +358,7 @@
         match time::timeout(CONNECT_TIMEOUT, connect).await {
             Ok(Ok(stream)) => {
                 let opened = self.open(remote, stream, place).await;
-                opened.map_or(Probe::Unknown, Probe::Accepted)
+                opened.map_or(Probe::Unknown, |it| Probe::Accepted(Box::new(it)))
             }
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
             Ok(Err(_)) | Err(_) => Probe::Unknown,
@@ -318,40 +373,33 @@
         place: Option<SocketPlace>,
     ) -> Result<Connection, Fault> {
         socket::set_options(&stream).map_err(|_| Fault::NotSent)?;
-        let (stream, meter) = Metered::new(stream, bounds::HEAD_ALLOWANCE);
+        let stream = SharedStream::new(stream);
+        let (metered, meter) = Metered::new(stream.clone(), bounds::HEAD_ALLOWANCE);
         let handshake = http1::Builder::new()
             .max_buf_size(bounds::MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|_| Fault::NotSent)?;
-        // The call that uses the connection gets its errors, so they are dropped here.
-        let task = task::spawn_local(async move {
-            let _place = place;
-            connection.await.unwrap_or_default();
-        });
+            .handshake(TokioIo::new(metered));
+        let (sender, driver) = handshake.await.map_err(|_| Fault::NotSent)?;
         Ok(Connection {
             client: self.clone(),
             remote,
-            sender: Some(sender),
-            task: task.abort_handle(),
-            meter,
+            link: Link {
+                sender,
+                driver: Some(driver),
+                stream,
+                meter,
+                _place: place,
+            },
         })
     }
 
-    fn has_idle(&self, remote: &Remote) -> bool {
-        self.idle.borrow().contains_key(remote)
-    }
-
-    fn take_idle(&self, remote: &Remote) -> Option<IdleConnection> {
-        let mut all = self.idle.borrow_mut();
-        let kept = all.get_mut(remote)?;
-        let now = Instant::now();
-        while let Some(idle) = kept.pop() {
-            if idle.expires_at > now && !idle.sender.is_closed() && idle.sender.is_ready() {
-                return Some(idle);
+    /// Takes an idle connection that can be used. Others are closed.
+    async fn take_idle(&self, remote: &Remote) -> Option<Link> {
+        loop {
+            let mut idle = self.idle.borrow_mut().get_mut(remote)?.pop()?;
+            if idle.expires_at > Instant::now() && idle.link.is_usable().await {
+                return Some(idle.link);
             }
-            idle.task.abort();
         }
-        None
     }
 
     /// Takes or opens a connection, sends a request and reads the whole answer, with a body of
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -65,7 +65,7 @@
     };
     match shared.client.probe(remote).await {
         Probe::Refused => Finding::Refused,
-        Probe::Accepted(connection) => identify(shared, target, connection).await,
+        Probe::Accepted(connection) => identify(shared, target, *connection).await,
         Probe::Unknown => Finding::Unanswered,
     }
 }
--- a/crates/edge/src/exchange/dispatch.rs
+++ b/crates/edge/src/exchange/dispatch.rs
@@ -131,7 +131,7 @@
     /// connection can be reused.
     async fn not_run(&self, target: &Target, answer: UpstreamAnswer) -> DispatchEnd {
         let UpstreamAnswer {
-            connection,
+            mut connection,
             head,
             body,
             reply,
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     bounds::{self, StreamBounds},
-    client::Fault,
+    client::{Connection, Fault},
     crashes,
     events::{self, Content, Event, LAST_EVENT_ID, Splitter},
     framing::Framing,
@@ -14,7 +14,6 @@
     unread::Unread,
 };
 use http::response;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mulberryrack_core::Time;
 use mulberryrack_gate::{Ending, RequestState, Target};
@@ -124,7 +123,7 @@
     ) -> DispatchEnd {
         let UpstreamAnswer {
             dispatched_at,
-            connection,
+            mut connection,
             head,
             body,
             reply,
@@ -151,7 +150,9 @@
             unread: Unread::default(),
             resumed_after: self.resumed_after(),
         };
-        let end = self.relay_events(state, target, &mut stream).await;
+        let end = self
+            .relay_events(state, target, &mut connection, &mut stream)
+            .await;
         let unfinished_bytes = stream.splitter.pending_bytes();
         self.record_body(
             framing,
@@ -210,6 +211,7 @@
         &mut self,
         state: &mut RequestState,
         target: &Target,
+        connection: &mut Connection,
         stream: &mut Stream,
     ) -> StreamEnd {
         // Only whole events are signs of progress, other bytes may come without end.
@@ -227,7 +229,7 @@
             self.record_unread(state, pause);
             since = since + pause;
             let frame = tokio::select! {
-                frame = stream.body.frame() => frame,
+                frame = connection.frame(&mut stream.body) => frame,
                 () = self.caller.closed() => return StreamEnd::CallerGone,
                 () = self.wait_for_silence(state, target, since) => return StreamEnd::Silent,
             };
--- a/crates/edge/src/exchange/whole.rs
+++ b/crates/edge/src/exchange/whole.rs
@@ -21,7 +21,7 @@
     ) -> DispatchEnd {
         let UpstreamAnswer {
             dispatched_at,
-            connection,
+            mut connection,
             mut head,
             body,
             reply,
