Gate, edge: a dispatch is checked again before its first byte

A request reached an upstream that the host knew to be leaving: it had been selected before, and opening the connection and waiting for the thread took a second. Only the caller's key was checked again. Whether the upstream is still the one that was selected, takes requests and wants any, whether the deadline still allows the send, and whether the request is by now known to crash upstreams, is now checked in one place that every send passes, when its connection is open; with the connection driven by the exchange, the first byte follows in the same turn. A request that must not be sent is decided on again; the connection is kept.

request_is_not_sent_to_an_upstream_that_left_while_its_connection_was_opened: answered by it with 200 before, refused with 503 now.

--- a/crates/daemon/tests/late_reads.rs
+++ b/crates/daemon/tests/late_reads.rs
@@ -16,9 +16,13 @@
 
 use host::{Host, exchange, status};
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use std::{
-    net::TcpStream,
-    sync::Mutex,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Mutex,
+        mpsc::{self, Receiver},
+    },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -160,3 +164,75 @@
     assert_eq!(site.desk.seen().len(), 0, "requests to the service before");
     assert_eq!(answers, [200; REQUESTS]);
 }
+
+/// An upstream whose queue of connections is full until [`Crowded::accept`].
+struct Crowded {
+    listener: TcpListener,
+    /// The connection that fills the queue.
+    _waiting: TcpStream,
+}
+
+impl Crowded {
+    fn listen() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).expect("a free port");
+        socket.listen(0).expect("a listener");
+        let listener = TcpListener::from(socket);
+        let waiting = TcpStream::connect(listener.local_addr().expect("an address"));
+        Self {
+            listener,
+            _waiting: waiting.expect("a listener"),
+        }
+    }
+
+    /// Accepts all connections, and answers what comes on them. Returns the heads of the requests.
+    fn accept(&self) -> Receiver<String> {
+        let listener = self.listener.try_clone().expect("a socket");
+        let (sender, requests) = mpsc::channel();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (sender, mut stream) = (sender.clone(), stream.expect("a connection"));
+                thread::spawn(move || {
+                    let Some(request) = upstream::read(&mut stream) else {
+                        return;
+                    };
+                    answer(&request, &mut stream);
+                    // Fails if the test has ended.
+                    let _ = sender.send(request.line);
+                });
+            }
+        });
+        requests
+    }
+}
+
+#[test]
+fn request_is_not_sent_to_an_upstream_that_left_while_its_connection_was_opened() {
+    let crowded = Crowded::listen();
+    let address = crowded.listener.local_addr().expect("an address");
+    let store = Store::start();
+    store.write("op/config", &config(1, "desk"));
+    store.write("servers/d0", &entry("desk", address, "ready"));
+    let store_address = store.address;
+    let host = Host::start_bounded(store.clone(), store_address, BOUNDS);
+    thread::sleep(GATHERED);
+    let callers = host.callers;
+    let answer = thread::spawn(move || status(&exchange(callers, &request("/book/", 0))));
+    // The host has asked for a connection. The kernel asks once more after a second.
+    thread::sleep(Duration::from_millis(200));
+    host.signal("STOP");
+    let mut leaving = entry("desk", address, "draining");
+    leaving["sequence"] = json!(2);
+    store.write("servers/d0", &leaving);
+    let requests = crowded.accept();
+    thread::sleep(STOP);
+    host.signal("CONT");
+    let status = answer.join().expect("no thread fails");
+    let sent: Vec<String> = requests
+        .try_iter()
+        .filter(|it| it.contains("/book/"))
+        .collect();
+    assert_eq!(sent, [""; 0], "answered {status}");
+    assert_eq!(status, 503);
+}
--- a/crates/edge/src/exchange/dispatch.rs
+++ b/crates/edge/src/exchange/dispatch.rs
@@ -36,8 +36,14 @@
             // What is left of the timeout counts from when the request is sent.
             let sent_at = self.shared.clock.now();
             connected.set(Some(sent_at));
-            // The key may have been removed, or the host suspended, while connecting.
-            let Ok((_, identity)) = admission::check_key(&self.shared, state) else {
+            // What the decision relied on may have changed while connecting.
+            let may_send = {
+                let gate = self.shared.gate.borrow();
+                gate.may_still_send(sent_at, state, target)
+            };
+            let key = admission::check_key(&self.shared, state);
+            let (true, Ok((_, identity))) = (may_send, key) else {
+                connection.return_to_pool(None);
                 return Ok(None);
             };
             let request = self.upstream_request(state, target, sent_at, identity);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -48,7 +48,7 @@
 /// may name thousands, which fit into no datagram.
 const MAX_ANNOUNCED_PREFIXES: usize = 64;
 /// A request with less time left than this until its deadline is not dispatched.
-const MIN_DISPATCH_MARGIN: Duration = Duration::from_millis(5);
+pub(crate) const MIN_DISPATCH_MARGIN: Duration = Duration::from_millis(5);
 
 /// An upstream that has sent something for other requests may be silent on one request for
 /// up to this many times the usual limit.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -35,6 +35,7 @@
 mod pauses;
 mod preview;
 mod read_time;
+mod recheck;
 mod request;
 mod rest;
 mod speed;
--- a/crates/gate/src/trial.rs
+++ b/crates/gate/src/trial.rs
@@ -72,6 +72,13 @@
         })
     }
 
+    /// Whether a request has a subject that is known to crash upstreams.
+    pub(crate) fn is_refused_as_suspect(&self, request: &RequestState) -> bool {
+        let mut subjects = request.subjects.iter();
+        subjects.any(|subject| self.suspects.is_refused(*subject))
+            || self.suspects.is_hopeless(&request.subjects)
+    }
+
     /// The subject of a request with the most severe verdict, for the log.
     #[must_use]
     pub fn blamed(&self, request: &RequestState) -> Option<Subject> {
