Edge: an exchange runs in the task of its caller until its answer begins

A request waited for the thread once more between its admission and its first decision, as its exchange had a task of its own, and its whole answer once more on the way back. The exchange now runs in the task of the connection until the first part of the answer is there, and goes on in one of its own after that, or if the caller goes away.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -681,15 +681,16 @@
         charge,
         read_late: arrival.late,
     };
-    task::spawn_local(exchange::run(
-        shared.clone(),
-        link,
-        head,
-        body,
-        admitted,
-        caller,
-    ));
-    match taken.recv().await {
+    let run = exchange::run(shared.clone(), link, head, body, admitted, caller);
+    let mut running = Running::new(run);
+    let first = tokio::select! {
+        // Its first part is taken in the same turn.
+        biased;
+        () = running.ended() => taken.recv().await,
+        part = taken.recv() => part,
+    };
+    drop(running);
+    match first {
         Some(Part::Whole(response)) => response.map(|body| AnswerBody::whole(Some(body))),
         Some(Part::Head(head)) if takes_chunks => {
             Response::from_parts(*head, AnswerBody::parts(taken))
@@ -710,6 +711,33 @@
     }
 }
 
+/// An exchange that runs in the task of its caller's connection until its answer begins: a task of its
+/// own would wait for the thread once more before the request is sent. Dropped before its end, it goes
+/// on in one.
+struct Running(Option<Pin<Box<dyn Future<Output = ()>>>>);
+
+impl Running {
+    fn new(run: impl Future<Output = ()> + 'static) -> Self {
+        Self(Some(Box::pin(run)))
+    }
+
+    /// Runs the exchange, and returns once it has ended.
+    async fn ended(&mut self) {
+        if let Some(run) = &mut self.0 {
+            run.await;
+            self.0 = None;
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(run) = self.0.take() {
+            task::spawn_local(run);
+        }
+    }
+}
+
 /// Collects a stream for a caller that would take the end of its connection for the end of the
 /// stream. What is collected takes room.
 async fn collect(
