Edge: an answer with status 101 is no answer

An upstream that answered 101 to a request that asks for no other protocol had that passed to its caller as an answer: hyper takes it for final. It is now treated as bytes that are no answer, as the statuses 000, 099, 20, 2000 and 2x0 were before.

an_answer_whose_status_is_none_reaches_no_caller: 101 to the caller before, 502 now. an_answer_that_is_reset_while_its_upload_is_written_never_looks_ complete (four kinds of route, four framings, uploads of 100 B to 8 MiB, fast and slow): passes, on the code before this work, too.

--- a/crates/daemon/tests/answer_ends/receive.rs
+++ b/crates/daemon/tests/answer_ends/receive.rs
@@ -19,6 +19,11 @@
 pub fn exchange(host: SocketAddr, request: &str) -> Answer {
     let mut stream = TcpStream::connect(host).expect("a listener");
     stream.write_all(request.as_bytes()).expect("a connection");
+    read(&mut stream)
+}
+
+/// Receives an answer until its connection ends.
+pub fn read(stream: &mut TcpStream) -> Answer {
     let mut bytes = Vec::new();
     let is_reset = stream.read_to_end(&mut bytes).is_err();
     let text = String::from_utf8(bytes).expect("text");
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -212,6 +212,8 @@
         .map_err(|_| Fault::NotSent)?;
         let answered = self.link.sender.try_send_request(request.map(Full::new));
         match self.link.drive_until(answered).await {
+            // Final as hyper sees it: 101, to a request that asks for no other protocol.
+            Ok(response) if response.status().is_informational() => Err(Fault::Broken),
             Ok(response) => Ok(response.into_parts()),
             // hyper returns the request if no byte of it was written.
             Err(mut error) => match error.take_message() {
