Edge: the gathering of changes leaves room for a late thread

A host waits for 0.35 of the bound on changes before it asks for further ones, whatever its own thread takes beside that; a change went through the queue of the thread at least twice more until it was in force. The delay is now shorter by two turns of the thread, as late as it is, and 0.15 of the bound at least, as each call costs a late thread more.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -28,6 +28,12 @@
 /// allowed reaction delay. Further changes are collected in this time; the rest of the
 /// allowed time is for the next call and its retry.
 const BATCH_DELAY_SHARE: f64 = 0.35;
+/// Turns of the thread that changes wait for after the delay: for its end, and for the answer to the
+/// watch. The delay is shorter by these: together they have to keep the allowed reaction delay.
+const TURNS_TO_APPLY: u32 = 2;
+/// Shortest delay of a thread that is late, as a share of the longest allowed reaction delay: without
+/// one, it would be later for the calls.
+const MIN_BATCH_DELAY_SHARE: f64 = 0.15;
 /// Longest delay after changes, as a share of the revocation delay, and longest time without an answer
 /// to a watch while the proof that the configuration is current is old. Else a watch may wait for the
 /// whole reaction delay: an answer that is lost shows by what other hosts state, or by the next call
@@ -288,7 +294,10 @@
         shared.changed.notify_waiters();
         let rises = shared.store.rises();
         shared.proofs.record_position(Some(revision), rises);
-        let delay = max_delay.mul_f64(BATCH_DELAY_SHARE).min(max_wait);
+        let late = shared.lateness.now() * TURNS_TO_APPLY;
+        let delay = max_delay.mul_f64(BATCH_DELAY_SHARE).saturating_sub(late);
+        let delay = delay.max(max_delay.mul_f64(MIN_BATCH_DELAY_SHARE));
+        let delay = delay.min(max_wait);
         tokio::select! {
             () = time::sleep(delay) => {}
             () = shared.proofs.old.notified() => {}
