Edge: a connection whose upload is not written is not kept

An upload that is answered early was written to its end by the task of its connection. Without one, the rest would be written when the connection is next taken, up to seconds later. Only a connection that is ready for the next request is kept now.

--- a/crates/daemon/tests/broken_uploads.rs
+++ b/crates/daemon/tests/broken_uploads.rs
@@ -24,6 +24,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    sync::atomic::{AtomicUsize, Ordering},
     thread,
     time::Duration,
 };
@@ -39,6 +40,11 @@
 /// Bytes of the answer before the reset: none, whole events, and more than a buffer.
 const PARTS: [usize; 3] = [0, 4, 4_000];
 const PAUSE: Duration = Duration::from_millis(40);
+const EARLY: usize = 20;
+
+/// Bytes that are not of the upload that was answered early, and uploads that were read to their ends.
+static OTHER_BYTES: AtomicUsize = AtomicUsize::new(0);
+static READ: AtomicUsize = AtomicUsize::new(0);
 
 /// How an upstream deals with a request.
 #[derive(Clone, Copy, Debug)]
@@ -78,6 +84,11 @@
         let _ = stream.write_all(b"HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n");
         return;
     }
+    if header("x-early") == "true" {
+        let length = header("content-length").parse().expect("a number");
+        answer_early(&mut stream, id, length);
+        return serve(stream);
+    }
     if header("x-reads") == "true" {
         let _ = stream.read(&mut [0; 4_096]);
     }
@@ -118,6 +129,22 @@
     let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Answers before the upload is read, keeps the connection, and reads on later.
+fn answer_early(stream: &mut TcpStream, id: &str, length: u64) {
+    let answer = format!(
+        "HTTP/1.1 200 x\r\nAttempt-Id: {id}\r\nResponse-Signature: sig\r\n\
+         Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nearly"
+    );
+    let _ = stream.write_all(answer.as_bytes());
+    thread::sleep(10 * PAUSE);
+    let mut upload = Vec::new();
+    // Fails if the host has closed the connection.
+    let _ = Read::take(&mut *stream, length).read_to_end(&mut upload);
+    let others = upload.iter().filter(|byte| **byte != b'x').count();
+    OTHER_BYTES.fetch_add(others, Ordering::Relaxed);
+    READ.fetch_add(1, Ordering::Relaxed);
+}
+
 fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0];
@@ -241,3 +268,23 @@
         }
     }
 }
+
+#[test]
+fn nothing_else_is_sent_where_the_rest_of_an_early_answered_upload_is_due() {
+    let host = site();
+    for number in 0..EARLY {
+        let bytes = UPLOADS[number % UPLOADS.len()];
+        let request = format!(
+            "POST /book/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: c{number}\r\n\
+             Deadline-Ms: 5000\r\nConnection: close\r\nContent-Length: {bytes}\r\n\
+             X-Early: true\r\n\r\n{}",
+            "x".repeat(bytes)
+        );
+        let answer = receive::exchange(host.callers, &request);
+        assert_eq!((answer.status, &*answer.body), (200, "early"), "{number}");
+    }
+    while READ.load(Ordering::Relaxed) < EARLY {
+        thread::sleep(PAUSE);
+    }
+    assert_eq!(OTHER_BYTES.load(Ordering::Relaxed), 0);
+}
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -25,7 +25,7 @@
     net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, Waker},
     time::Duration,
 };
 use tokio::{net::TcpStream, time::Instant};
@@ -127,17 +127,8 @@
     }
 
     /// Whether an idle connection can take a request.
-    async fn is_usable(&mut self) -> bool {
-        if !self.stream.is_quiet() {
-            return false;
-        }
-        // Lets hyper notice that the last answer was read.
-        future::poll_fn(|context| {
-            self.drive(context);
-            Poll::Ready(())
-        })
-        .await;
-        self.driver.is_some() && self.sender.is_ready()
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.stream.is_quiet()
     }
 }
 
@@ -151,9 +142,12 @@
 impl Connection {
     /// Returns the connection to the pool for a later call. `keep_alive` is the time for
     /// which the remote side keeps an idle connection, if it names one.
-    pub fn return_to_pool(self, keep_alive: Option<Duration>) {
+    pub fn return_to_pool(mut self, keep_alive: Option<Duration>) {
         let idle = keep_alive.map_or(IDLE_TIMEOUT, |named| named.saturating_sub(IDLE_MARGIN));
-        if self.link.driver.is_none() || idle.is_zero() {
+        // Lets hyper notice that the last answer was read. An upload that was answered early may not be
+        // written yet: nobody would write the rest.
+        self.link.drive(&mut Context::from_waker(Waker::noop()));
+        if idle.is_zero() || !self.link.sender.is_ready() {
             return;
         }
         let kept = IdleConnection {
@@ -335,7 +329,7 @@
         remote: Remote,
         force_new: bool,
     ) -> Result<Connection, Fault> {
-        if !force_new && let Some(link) = self.take_idle(&remote).await {
+        if !force_new && let Some(link) = self.take_idle(&remote) {
             return Ok(Connection {
                 client: self.clone(),
                 remote,
@@ -393,13 +387,16 @@
     }
 
     /// Takes an idle connection that can be used. Others are closed.
-    async fn take_idle(&self, remote: &Remote) -> Option<Link> {
-        loop {
-            let mut idle = self.idle.borrow_mut().get_mut(remote)?.pop()?;
-            if idle.expires_at > Instant::now() && idle.link.is_usable().await {
+    fn take_idle(&self, remote: &Remote) -> Option<Link> {
+        let mut all = self.idle.borrow_mut();
+        let kept = all.get_mut(remote)?;
+        let now = Instant::now();
+        while let Some(idle) = kept.pop() {
+            if idle.expires_at > now && idle.link.is_usable() {
                 return Some(idle.link);
             }
         }
+        None
     }
 
     /// Takes or opens a connection, sends a request and reads the whole answer, with a body of
