Edge: an end that was read late proves no whole answer

An end that is read by a thread that was late for a second or more within the last one is no proof; the answer is resumed, or broken off.

--- a/crates/daemon/tests/late_reads.rs
+++ b/crates/daemon/tests/late_reads.rs
@@ -5,6 +5,9 @@
 #[path = "site/host.rs"]
 mod host;
 #[allow(dead_code)]
+#[path = "answer_ends/receive.rs"]
+mod receive;
+#[allow(dead_code)]
 #[path = "site/store.rs"]
 mod store;
 #[allow(dead_code)]
@@ -18,6 +21,7 @@
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::{
+    io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Mutex,
@@ -28,7 +32,7 @@
 };
 use store::Store;
 use upstream::{Request, Upstream, answer};
-use wire::{config, entry};
+use wire::{MODEL, config, entry};
 
 /// Time after which a host that has seen changes waits for the next ones.
 const GATHERED: Duration = Duration::from_millis(2_500);
@@ -236,3 +240,37 @@
     assert_eq!(sent, [""; 0], "answered {status}");
     assert_eq!(status, 503);
 }
+
+/// Writes two events of a stream without a length or chunks, and closes the connection while the host is
+/// stopped.
+fn end_between_events(request: &Request, stream: &mut TcpStream) {
+    let head = upstream::head(
+        request,
+        "Content-Type: text/event-stream\r\nConnection: close\r\n",
+    );
+    let text = head + &upstream::events(1, 2);
+    stream.write_all(text.as_bytes()).expect("a connection");
+    thread::sleep(STOP / 2);
+}
+
+#[test]
+fn stream_whose_end_was_read_late_does_not_look_complete() {
+    let store = Store::start();
+    store.write("op/config", &config(1, "desk"));
+    // Something listens at the address, whatever has become of the engine.
+    let engine = Upstream::start(end_between_events);
+    store.write("servers/e0", &entry("llm", engine.address, "ready"));
+    let address = store.address;
+    let host = Host::start_bounded(store, address, BOUNDS);
+    let text = request("/note/", 0).replace("Host:", &format!("{MODEL}Host:"));
+    let mut caller = TcpStream::connect(host.callers).expect("a listener");
+    caller.write_all(text.as_bytes()).expect("a connection");
+    let _received = engine.requests.recv_timeout(STOP).expect("a request");
+    thread::sleep(STOP / 5);
+    host.signal("STOP");
+    thread::sleep(STOP);
+    host.signal("CONT");
+    let answer = receive::read(&mut caller);
+    assert_eq!(answer.status, 200);
+    assert!(!answer.is_complete, "{answer:?}");
+}
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -7,7 +7,7 @@
     lateness, permits,
     replies::{self, Asked},
     shared::Shared,
-    suspects,
+    suspects, unread,
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_gate::{CrashReport, CrashSign, Target, UpstreamId};
@@ -141,9 +141,13 @@
     report(shared);
 }
 
-/// Whether an upstream has crashed that has just closed a connection: its address refuses a new
-/// one. A connection that is accepted is kept for a later call.
-pub async fn has_crashed<D>(shared: &Shared<D>, target: &Target) -> bool {
+/// Whether an upstream may have crashed that has closed a connection: its address refuses a new one, or
+/// the end was read so late that the next incarnation may accept it. A connection that is accepted is
+/// kept for a later call.
+pub async fn may_have_cut_off<D>(shared: &Shared<D>, target: &Target) -> bool {
+    if shared.lateness.lately() >= unread::MIN_UNREAD_TIMEOUT {
+        return true;
+    }
     if !shared.gate.borrow().would_end_in_crash(target.id) {
         return false;
     }
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -185,7 +185,7 @@
         if !names_its_end && is_unread {
             return self.answer_lost_or_unread(target, Fault::Broken, true);
         }
-        if !names_its_end && crashes::has_crashed(&self.shared, target).await {
+        if !names_its_end && crashes::may_have_cut_off(&self.shared, target).await {
             return self.answer_lost(target, Fault::Broken);
         }
         self.begin_stream(state, target, &mut stream).await;
--- a/crates/edge/src/exchange/whole.rs
+++ b/crates/edge/src/exchange/whole.rs
@@ -72,7 +72,7 @@
         if !names_its_end && is_unread {
             return self.answer_lost_or_unread(target, Fault::Broken, true);
         }
-        if is_torn || (!names_its_end && crashes::has_crashed(&self.shared, target).await) {
+        if is_torn || (!names_its_end && crashes::may_have_cut_off(&self.shared, target).await) {
             return self.answer_lost(target, Fault::Broken);
         }
         if !reply.close {
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -10,6 +10,8 @@
 
 /// Interval between two measurements.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Period for which a lateness is remembered.
+const PEAK_PERIOD: Duration = Duration::from_secs(1);
 /// Lateness from which on it is logged.
 const NOTABLE_LATENESS: Duration = Duration::from_millis(100);
 
@@ -20,6 +22,9 @@
     due: Cell<Instant>,
     /// What the last measurement has shown.
     last: Cell<Duration>,
+    /// The largest lateness of the last [`PEAK_PERIOD`], or a later and smaller one, and when it was
+    /// measured.
+    peak: Cell<(Duration, Instant)>,
 }
 
 impl Lateness {
@@ -28,6 +33,7 @@
         Self {
             due: Cell::new(Instant::now()),
             last: Cell::default(),
+            peak: Cell::new((Duration::ZERO, Instant::now())),
         }
     }
 
@@ -37,12 +43,25 @@
         self.last.get().max(self.due.get().elapsed())
     }
 
+    /// The largest lateness of the last [`PEAK_PERIOD`]: after a pause, what has arrived meanwhile is read
+    /// for a while.
+    pub fn lately(&self) -> Duration {
+        let (peak, at) = self.peak.get();
+        let is_recent = at.elapsed() < PEAK_PERIOD;
+        self.now()
+            .max(if is_recent { peak } else { Duration::ZERO })
+    }
+
     async fn measure(&self) -> Duration {
         let due = Instant::now() + INTERVAL;
         self.due.set(due);
         time::sleep_until(due).await;
         let late = due.elapsed();
         self.last.set(late);
+        let (peak, at) = self.peak.get();
+        if late >= peak || at.elapsed() >= PEAK_PERIOD {
+            self.peak.set((late, Instant::now()));
+        }
         late
     }
 }
