--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -647,8 +647,8 @@
 }
 
 /// Serves a request whose head has arrived: the caller's timeout runs while the request waits for
-/// the thread and while the body arrives. Its head has been checked, once; the gate checks its route against the
-/// configuration that is in force now.
+/// the thread and while the body arrives. Its head has been checked, once; the gate checks its route
+/// against the configuration that is in force now.
 async fn admit_and_serve<D: Dialect>(
     shared: &Rc<Shared<D>>,
     link: Rc<PlannerLink>,
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -22,8 +22,7 @@
     due: Cell<Instant>,
     /// What the last measurement has shown.
     last: Cell<Duration>,
-    /// The largest lateness of the last [`PEAK_PERIOD`], or a later and smaller one, and when it was
-    /// measured.
+    /// The largest recent lateness, and when it was measured.
     peak: Cell<(Duration, Instant)>,
 }
 
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -120,6 +120,20 @@
         let read = (&*socket).read(&mut [0]);
         read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
+
+    fn poll_try_write(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match write(&self.0) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
 }
 
 impl AsyncRead for SharedStream {
@@ -142,22 +156,6 @@
     }
 }
 
-impl SharedStream {
-    fn poll_try_write(
-        &self,
-        context: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match write(&self.0) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
-    }
-}
-
 impl AsyncWrite for SharedStream {
     fn poll_write(
         self: Pin<&mut Self>,
