Edge: a request after a pause of the thread is not charged with the pause

A sound request that came within 100 ms after a pause of the host's thread was taken to have waited through the pause, and refused for its deadline though all of its time was left: the lateness held until the next measurement. It now ends once the thread has looked at its sockets again; what arrives from then on has waited for a turn at most.

request_after_a_pause_of_the_thread_is_not_charged_with_the_pause: refused with 503 before, sent to its upstream now.

--- a/crates/daemon/tests/late_reads.rs
+++ b/crates/daemon/tests/late_reads.rs
@@ -40,15 +40,16 @@
 /// Time for which the host is stopped: longer than the bounds on changes.
 const STOP: Duration = Duration::from_millis(1_500);
 const BOUNDS: &str = "config_ms = 1000\ndrain_ms = 1000\n";
-/// How much more time than is left may be handed to an upstream; the users' rule.
+/// How much more time than is left may be handed to an upstream, and how long a request may be held
+/// past its time-out; the users' rules.
 const SLACK: Duration = Duration::from_millis(500);
 const REQUESTS: usize = 16;
 
 /// Deadline of all requests.
 const DEADLINE: Duration = Duration::from_millis(2_500);
 
-/// The times that were handed to the upstream with requests that it does not answer.
-static HANDED: Mutex<Vec<Duration>> = Mutex::new(Vec::new());
+/// The requests that the upstream does not answer, and the times that it was handed with them.
+static HANDED: Mutex<Vec<(String, Duration)>> = Mutex::new(Vec::new());
 /// Whether the upstream may close its connection.
 static MAY_CLOSE: AtomicBool = AtomicBool::new(false);
 
@@ -99,10 +100,14 @@
 }
 
 fn request(path: &str, number: usize) -> String {
+    request_within(path, number, DEADLINE)
+}
+
+fn request_within(path: &str, number: usize, deadline: Duration) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id{number}\r\n\
          Deadline-Ms: {}\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx",
-        DEADLINE.as_millis()
+        deadline.as_millis()
     )
 }
 
@@ -110,7 +115,8 @@
 fn hold(request: &Request, _stream: &mut TcpStream) {
     let handed = request.header("deadline-ms").parse().expect("a number");
     let handed = Duration::from_millis(handed);
-    HANDED.lock().expect("unpoisoned").push(handed);
+    let id = request.header("attempt-id").to_owned();
+    HANDED.lock().expect("unpoisoned").push((id, handed));
     thread::sleep(Duration::from_secs(10));
 }
 
@@ -118,34 +124,47 @@
 fn requests_that_waited_for_the_thread_are_handed_and_held_no_longer_than_their_time_out() {
     let site = Site::start(hold);
     site.host.signal("STOP");
-    let mut caller = TcpStream::connect(site.host.callers).expect("a listener");
+    let mut late = TcpStream::connect(site.host.callers).expect("a listener");
     let text = request("/book/", 0);
-    caller.write_all(text.as_bytes()).expect("a connection");
+    late.write_all(text.as_bytes()).expect("a connection");
     let sent_at = Instant::now();
     thread::sleep(STOP);
-    // What the test itself takes from here on shortens what is handed.
-    let waited = sent_at.elapsed();
+    let left = DEADLINE.saturating_sub(sent_at.elapsed());
+    let longest = left + SLACK;
+    let late_lines = site.host.logged("event=thread-late");
     site.host.signal("CONT");
-    let status = receive::read(&mut caller).status;
-    assert!(matches!(status, 503 | 504), "{status}");
-    let left = DEADLINE.saturating_sub(waited);
-    for handed in HANDED.lock().expect("unpoisoned").iter() {
-        assert!(*handed <= left + SLACK, "{handed:?} of {left:?}");
+    let went_on_at = Instant::now();
+    site.host
+        .wait_until(|host| host.logged("event=thread-late") > late_lines);
+    // A request whose time-out ends when the late one must have had its answer, or later.
+    let text = request_within("/book/", 1, longest.saturating_sub(went_on_at.elapsed()));
+    let answer = exchange(site.host.callers, &text);
+    for answer in [status(&answer), receive::read(&mut late).status] {
+        assert!(matches!(answer, 503 | 504), "{answer}");
     }
-    // The time-out by which it was answered counts from the same arrival.
-    let late = site
-        .host
-        .lines("event=sent")
-        .into_iter()
-        .filter_map(|line| {
-            let field = |key| line.split(' ').find_map(|it: &str| it.strip_prefix(key));
-            field("read_late_ms=")?.parse().ok()
-        });
-    let late: Vec<u64> = late.collect();
-    assert!(
-        late.iter()
-            .all(|ms| Duration::from_millis(*ms) + SLACK >= waited)
-    );
+    let handed = HANDED.lock().expect("unpoisoned");
+    let handed = handed.iter().filter(|(id, _)| id == "id0");
+    for (_, handed) in handed {
+        assert!(*handed <= longest, "{handed:?} of {left:?}");
+    }
+    site.host.wait_until(|host| host.logged("event=ended") == 2);
+    let ended = site.host.lines("event=ended");
+    assert!(ended[0].contains("id=id0 "), "held too long: {ended:?}");
+}
+
+#[test]
+fn request_after_a_pause_of_the_thread_is_not_charged_with_the_pause() {
+    let site = Site::start(hold);
+    let late_lines = site.host.logged("event=thread-late");
+    site.host.signal("STOP");
+    thread::sleep(STOP);
+    site.host.signal("CONT");
+    site.host
+        .wait_until(|host| host.logged("event=thread-late") > late_lines);
+    let text = request_within("/book/", 2, STOP / 2);
+    assert_eq!(status(&exchange(site.host.callers, &text)), 504);
+    let handed = HANDED.lock().expect("unpoisoned");
+    assert!(handed.iter().any(|(id, _)| id == "id2"), "refused");
 }
 
 #[test]
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -63,6 +63,15 @@
         }
         late
     }
+
+    /// Ends a lateness once the thread has looked at its sockets again: what arrives from then on has
+    /// not waited through the pause, but for a turn at most.
+    async fn follow_up(&self) {
+        let begun = Instant::now();
+        self.due.set(begun + INTERVAL);
+        task::yield_now().await;
+        self.last.set(begun.elapsed());
+    }
 }
 
 /// Waits for a future for a limited time, as [`time::timeout`], but reads what has arrived by then: the
@@ -87,6 +96,7 @@
         shared.metrics.record_lateness(late);
         if late >= NOTABLE_LATENESS {
             journal!(warn, "thread-late", late_ms = late.as_millis());
+            shared.lateness.follow_up().await;
         }
     }
 }
