Edge: an answer that has arrived is read before its upstream counts as silent

Waits that end with the silence of an upstream now look once more.

answer_that_arrived_while_the_thread_was_late_is_delivered: 504 before, 200 now.

--- a/crates/daemon/tests/late_reads.rs
+++ b/crates/daemon/tests/late_reads.rs
@@ -52,6 +52,8 @@
 static HANDED: Mutex<Vec<(String, Duration)>> = Mutex::new(Vec::new());
 /// Whether the upstream may close its connection.
 static MAY_CLOSE: AtomicBool = AtomicBool::new(false);
+/// Whether the upstream may answer.
+static MAY_ANSWER: AtomicBool = AtomicBool::new(false);
 
 /// Two services, each with one upstream, and a host.
 struct Site {
@@ -309,3 +311,28 @@
     assert_eq!(answer.status, 200);
     assert!(!answer.is_complete, "{answer:?}");
 }
+
+/// Answers once the host is stopped.
+fn answer_while_stopped(request: &Request, stream: &mut TcpStream) {
+    while !MAY_ANSWER.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(10));
+    }
+    answer(request, stream);
+}
+
+#[test]
+fn answer_that_arrived_while_the_thread_was_late_is_delivered() {
+    for path in ["/book/", "/look/"] {
+        MAY_ANSWER.store(false, Ordering::Relaxed);
+        let site = Site::start(answer_while_stopped);
+        let mut caller = TcpStream::connect(site.host.callers).expect("a listener");
+        let text = request_within(path, 3, STOP / 2);
+        caller.write_all(text.as_bytes()).expect("a connection");
+        let _received = site.desk.requests.recv_timeout(STOP).expect("a request");
+        site.host.signal("STOP");
+        MAY_ANSWER.store(true, Ordering::Relaxed);
+        thread::sleep(STOP);
+        site.host.signal("CONT");
+        assert_eq!(receive::read(&mut caller).status, 200, "{path}");
+    }
+}
--- a/crates/edge/src/exchange/silence.rs
+++ b/crates/edge/src/exchange/silence.rs
@@ -1,11 +1,12 @@
 //! How long a silent upstream is waited for.
 
 use super::Exchange;
+use crate::lateness;
 use mulberryrack_core::Time;
 use mulberryrack_gate::{RequestState, Target};
 use mulberryrack_site::Dialect;
 use std::time::Duration;
-use tokio::time;
+use tokio::task;
 
 /// Longest wait before the limit for a silent upstream is computed again.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -59,6 +60,7 @@
             }
             let until = self.silence_deadline(state, target, since);
             if until <= now {
+                task::yield_now().await;
                 return;
             }
             let next = if is_recorded {
@@ -67,7 +69,7 @@
                 until.min(unusual)
             };
             let check = now + SILENCE_CHECK_INTERVAL;
-            time::sleep_until(self.shared.clock.instant(next.min(check))).await;
+            lateness::sleep_until(self.shared.clock.instant(next.min(check))).await;
         }
     }
 }
--- a/crates/edge/src/exchange/whole.rs
+++ b/crates/edge/src/exchange/whole.rs
@@ -4,12 +4,11 @@
     DispatchEnd, Exchange, Part,
     answer::{UpstreamAnswer, names_its_end},
 };
-use crate::{bounds, client::Fault, crashes, events, framing::Framing, unread::Unread};
+use crate::{bounds, client::Fault, crashes, events, framing::Framing, lateness, unread::Unread};
 use http::Response;
 use hyper::body::Body;
 use mulberryrack_gate::{Ending, RequestState, Target};
 use mulberryrack_site::Dialect;
-use tokio::time;
 
 impl<D: Dialect> Exchange<D> {
     /// Buffers an answer and sends it to the caller as a whole.
@@ -53,7 +52,7 @@
             biased;
             () = self.caller.closed() => return DispatchEnd::Finished(Ending::Abandoned),
             bytes = read => bytes,
-            () = time::sleep_until(until) => Err(Fault::Silent),
+            () = lateness::sleep_until(until) => Err(Fault::Silent),
         };
         self.record_unread(state, unread.longest());
         let is_unread = !has_room || unread.may_be_cut_off();
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -89,6 +89,13 @@
     time::timeout(Duration::ZERO, future).await
 }
 
+/// Sleeps until a time, and then until the thread has looked at its sockets once more: what has arrived
+/// by then can be read first.
+pub async fn sleep_until(end: Instant) {
+    time::sleep_until(end).await;
+    task::yield_now().await;
+}
+
 /// Measures until the process ends.
 pub async fn run<D>(shared: Rc<Shared<D>>) {
     loop {
