Edge: a body that has arrived is read before its caller counts as silent

A body that had arrived while the host's thread was late was refused with 408: the longest pause of a caller was due before the thread had looked at its sockets.

body_that_arrived_while_the_thread_was_late_is_read: 408 before, 200 now.

--- a/crates/daemon/tests/late_reads.rs
+++ b/crates/daemon/tests/late_reads.rs
@@ -336,3 +336,19 @@
         assert_eq!(receive::read(&mut caller).status, 200, "{path}");
     }
 }
+
+#[test]
+fn body_that_arrived_while_the_thread_was_late_is_read() {
+    let site = Site::start(answer);
+    let mut caller = TcpStream::connect(site.host.callers).expect("a listener");
+    let text = request_within("/book/", 4, 2 * STOP);
+    let (head, body) = text.split_at(text.len() - 1);
+    caller.write_all(head.as_bytes()).expect("a connection");
+    thread::sleep(STOP / 5);
+    site.host.signal("STOP");
+    caller.write_all(body.as_bytes()).expect("a connection");
+    // Longer than a caller may pause.
+    thread::sleep(STOP + STOP / 2);
+    site.host.signal("CONT");
+    assert_eq!(receive::read(&mut caller).status, 200);
+}
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -7,6 +7,7 @@
     exchange::{self, Admitted, Part, Recipient},
     holdings::{HeldBytes, RequestHold, Seat},
     journal::journal,
+    lateness,
     meter::{Meter, Metered},
     peers::PlannerLink,
     shared::Shared,
@@ -509,7 +510,7 @@
         tokio::select! {
             // A body that is complete in the same moment is taken.
             biased;
-            read = time::timeout(limits.idle_timeout, whole) => {
+            read = lateness::timeout(limits.idle_timeout, whole) => {
                 read.unwrap_or(malformed(StatusCode::REQUEST_TIMEOUT))
             }
             () = self.seat.evicted(Eviction::Request) => malformed(StatusCode::REQUEST_TIMEOUT),
@@ -605,7 +606,7 @@
 
 async fn read_body(limits: &Limits, body: Incoming) -> Result<Bytes, StatusCode> {
     let whole = bounds::read_body(body, limits.max_body_bytes);
-    match time::timeout(limits.idle_timeout, whole).await {
+    match lateness::timeout(limits.idle_timeout, whole).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::Excessive)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(BodyError::Broken)) => Err(StatusCode::BAD_REQUEST),
