Gate: the time before the read is taken off the deadline alone

A stream that the host had read late was refused as overload though its engine was idle: since the time before the read counted towards its latency target as well, by which prompts are held and refused.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -86,11 +86,6 @@
         };
         Self { read_at, late }
     }
-
-    /// Time from which the caller's timeout counts.
-    fn arrived_at(self) -> Time {
-        self.read_at.saturating_sub(self.late)
-    }
 }
 
 /// The beginning of a connection. A first request that is there in the first turn of its task may
@@ -663,11 +658,12 @@
     let admitted = shared
         .gate
         .borrow_mut()
-        .admit(arrival.arrived_at(), request_head, fingerprint);
-    let state = match admitted {
+        .admit(arrival.read_at, request_head, fingerprint);
+    let mut state = match admitted {
         Ok(state) => state,
         Err(refusal) => return refuse(shared, &attempt, refusal),
     };
+    state.record_wait(arrival.late);
     if shared.outlasts_stop(shared.clock.now(), state.deadline) {
         let refusal = Refusal {
             reason: Reason::Draining,
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -54,9 +54,11 @@
     pub service: Name,
     /// Version of the configuration that the route and service were taken from.
     pub config_version: u64,
-    /// Time at which the request arrived.
+    /// Time at which the host read the request. What is decided by its latency target counts from then:
+    /// it is late for the time before, but an upstream that can take it is not.
     pub arrived_at: Time,
-    /// End of the caller's own timeout or of the route's timeout, whichever is earlier.
+    /// End of the caller's own timeout or of the route's timeout, whichever is earlier. Both count from
+    /// when the request was there to be read.
     pub deadline: Time,
     /// Upstreams that the request may have reached, in the order of the first dispatch.
     /// Invariant: each occurs once.
@@ -106,6 +108,11 @@
         self.deadline.since(now)
     }
 
+    /// Takes off the deadline the time for which the request waited before the host read it.
+    pub fn record_wait(&mut self, waited: Duration) {
+        self.deadline = self.deadline.saturating_sub(waited);
+    }
+
     /// Records for how long the host did not read the upstream: that says nothing about its speed.
     pub fn record_unread(&mut self, pause: Duration) {
         self.unread += pause;
--- a/crates/gate/tests/recheck.rs
+++ b/crates/gate/tests/recheck.rs
@@ -98,3 +98,48 @@
     let next = target(gate.decide(NOW, &mut request, Some(Retry::Refused)));
     assert_ne!(next.id, to.id);
 }
+
+#[test]
+fn each_further_send_of_a_request_is_checked_like_the_first() {
+    let ways: [(&str, &str, Ending, Retry); 4] = [
+        ("turned away", "/book/x", Ending::NotRun, Retry::Turned),
+        ("not sent", "/book/x", Ending::NotSent, Retry::Refused),
+        ("broken", "/look/x", Ending::Broken, Retry::Broken),
+        ("silent", "/look/x", Ending::Silent, Retry::Silent),
+    ];
+    for (name, path, ending, retry) in ways {
+        let mut gate = common::gate();
+        let (mut request, first) = selected(&mut gate, path);
+        gate.record_ending(NOW, &mut request, first.id, ending);
+        let next = target(gate.decide(NOW, &mut request, Some(retry)));
+        assert!(gate.may_still_send(NOW, &request, &next), "{name}");
+        gate.deregister(&next.name);
+        assert!(!gate.may_still_send(NOW, &request, &next), "{name}");
+    }
+}
+
+#[test]
+fn resumed_stream_is_not_sent_to_an_upstream_that_has_left() {
+    let mut gate = common::gate();
+    let (mut stream, first) = selected(&mut gate, "/stream/x");
+    gate.record_first_event(&mut stream, &first, ms(20));
+    gate.record_ending(NOW, &mut stream, first.id, Ending::Broken);
+    let next = target(gate.decide(NOW, &mut stream, Some(Retry::Broken)));
+    assert!(gate.may_still_send(NOW, &stream, &next));
+    assert!(gate.record_leaving(next.id, stream.incarnation()));
+    assert!(!gate.may_still_send(NOW, &stream, &next));
+}
+
+#[test]
+fn request_that_was_read_late_is_refused_for_its_deadline_only() {
+    let mut gate = common::gate();
+    let head = request_head("/stream/x", Some(generation("m0", 1, 100)));
+    let mut request = gate.admit(NOW, head, FINGERPRINT).expect("a route matches");
+    let deadline = request.deadline;
+    // Longer than its latency target.
+    request.record_wait(ms(2_000));
+    assert_eq!(deadline.since(request.deadline), ms(2_000));
+    let to = target(gate.decide(NOW, &mut request, None));
+    assert!(gate.may_still_send(NOW, &request, &to));
+    assert!(!gate.may_still_send(request.deadline, &request, &to));
+}
