Edge: an open connection, and the arrival of a request, have modules of their own

client.rs had grown by what drives one connection, socket.rs by a stream that only it uses, caller.rs by when a request was there to be read: they are link.rs and arrival.rs now. The check before the first byte is a function. The lateness is current or recent; the time in which a crashed upstream is back has a constant of its own. No behaviour changes.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     admission,
+    arrival::{Arrival, Opening},
     bounds::{self, BodyError, Collector},
     endpoint,
     exchange::{self, Admitted, Part, Recipient},
@@ -22,10 +23,7 @@
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mulberryrack_core::{
-    Time,
-    outcome::{Reason, Refusal},
-};
+use mulberryrack_core::outcome::{Reason, Refusal};
 use mulberryrack_room::{Eviction, Full, MIN_STALL, Phase};
 use mulberryrack_site::{Dialect, RequestHead, config::Limits, request::RequestError};
 use std::{
@@ -67,47 +65,6 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// When the head of a request was read.
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    read_at: Time,
-    /// How late the thread was then.
-    late: Duration,
-}
-
-impl Arrival {
-    /// The arrival of a request whose head is read now.
-    fn now<D>(shared: &Shared<D>, opening: &Opening) -> Self {
-        let read_at = shared.clock.now();
-        let late = if opening.is_first_turn.get() {
-            read_at.since(opening.opened_at)
-        } else {
-            shared.lateness.now()
-        };
-        Self { read_at, late }
-    }
-}
-
-/// The beginning of a connection. A first request that is there in the first turn of its task may
-/// have waited since the connection was opened.
-#[derive(Debug)]
-struct Opening {
-    /// Earliest time at which the connection may have been opened.
-    opened_at: Time,
-    is_first_turn: Cell<bool>,
-}
-
-impl Opening {
-    /// The beginning of a connection that was accepted now.
-    fn accepted<D>(shared: &Shared<D>) -> Self {
-        let accepted_at = shared.clock.now();
-        Self {
-            opened_at: accepted_at.saturating_sub(shared.lateness.now()),
-            is_first_turn: Cell::new(true),
-        }
-    }
-}
-
 /// The answer broke off after its head was sent to the caller.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerAborted;
@@ -316,7 +273,7 @@
         tokio::select! {
             ended = future::poll_fn(|context| {
                 let polled = served.poll_without_shutdown(context);
-                opening.is_first_turn.set(false);
+                opening.end_first_turn();
                 polled
             }) => {
                 if let Err(error) = ended {
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -5,28 +5,17 @@
     bounds::{self, Collector},
     journal::journal,
     lateness,
-    meter::{Meter, Metered, ReadState},
-    socket::{self, SharedStream, SocketPlace, Sockets},
+    link::{Link, NotOpen},
+    meter::ReadState,
+    socket::{SocketPlace, Sockets},
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Full};
-use hyper::{
-    body::{Frame, Incoming},
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::body::{Frame, Incoming};
 use mulberryrack_core::Name;
 use std::{
-    cell::RefCell,
-    collections::HashMap,
-    future,
-    io::ErrorKind,
-    net::SocketAddr,
-    pin::{Pin, pin},
-    rc::Rc,
-    task::{Context, Poll, Waker},
-    time::Duration,
+    cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration,
 };
 use tokio::{net::TcpStream, time::Instant};
 
@@ -55,7 +44,7 @@
 /// What a new connection shows about the remote side.
 pub enum Probe {
     /// The connection was accepted.
-    Accepted(Box<Connection>),
+    Accepted(Connection),
     /// The address refuses connections: no process listens there.
     Refused,
     /// No answer in time, or another error.
@@ -76,7 +65,7 @@
 struct NoSocket;
 
 struct IdleConnection {
-    link: Link,
+    link: Box<Link>,
     expires_at: Instant,
 }
 
@@ -88,55 +77,11 @@
     sockets: Option<Sockets>,
 }
 
-/// An open connection. It has no task of its own: whoever waits for something of it drives it, so
-/// that a request is written in the turn of the thread in which it is sent, and an answer is read in
-/// the turn in which it is waited for. Dropping it closes the connection.
-struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    /// Writes and reads; `None` once the connection has ended.
-    driver: Option<Driver>,
-    stream: SharedStream,
-    meter: Meter,
-    _place: Option<SocketPlace>,
-}
-
-type Driver = http1::Connection<TokioIo<Metered<SharedStream>>, Full<Bytes>>;
-
-impl Link {
-    /// Writes and reads what can be at the moment.
-    fn drive(&mut self, context: &mut Context<'_>) {
-        if let Some(driver) = &mut self.driver
-            && Pin::new(driver).poll(context).is_ready()
-        {
-            // The call that uses the connection gets its errors.
-            self.driver = None;
-        }
-    }
-
-    /// Drives the connection until a future is ready that waits for it.
-    async fn drive_until<F: Future>(&mut self, awaited: F) -> F::Output {
-        let mut awaited = pin!(awaited);
-        future::poll_fn(|context| {
-            if let Poll::Ready(output) = awaited.as_mut().poll(context) {
-                return Poll::Ready(output);
-            }
-            self.drive(context);
-            awaited.as_mut().poll(context)
-        })
-        .await
-    }
-
-    /// Whether an idle connection can take a request.
-    fn is_usable(&self) -> bool {
-        self.sender.is_ready() && self.stream.is_quiet()
-    }
-}
-
 /// A connection in use. Dropping it closes the connection.
 pub struct Connection {
     client: Rc<Client>,
     remote: Remote,
-    link: Link,
+    link: Box<Link>,
 }
 
 impl Connection {
@@ -144,10 +89,8 @@
     /// which the remote side keeps an idle connection, if it names one.
     pub fn return_to_pool(mut self, keep_alive: Option<Duration>) {
         let idle = keep_alive.map_or(IDLE_TIMEOUT, |named| named.saturating_sub(IDLE_MARGIN));
-        // Lets hyper notice that the last answer was read. An upload that was answered early may not be
-        // written yet: nobody would write the rest.
-        self.link.drive(&mut Context::from_waker(Waker::noop()));
-        if idle.is_zero() || !self.link.sender.is_ready() {
+        // An upload that was answered early may not be written yet: nobody would write the rest.
+        if idle.is_zero() || !self.link.is_idle() {
             return;
         }
         let kept = IdleConnection {
@@ -194,18 +137,8 @@
     ) -> Result<(response::Parts, Incoming), Fault> {
         self.link.meter.allow(bounds::HEAD_ALLOWANCE);
         self.link.meter.expect_write();
-        future::poll_fn(|context| {
-            let polled = self.link.sender.poll_ready(context);
-            if polled.is_ready() {
-                return polled;
-            }
-            self.link.drive(context);
-            self.link.sender.poll_ready(context)
-        })
-        .await
-        .map_err(|_| Fault::NotSent)?;
-        let answered = self.link.sender.try_send_request(request.map(Full::new));
-        match self.link.drive_until(answered).await {
+        self.link.ready().await.map_err(|_| Fault::NotSent)?;
+        match self.link.send(request.map(Full::new)).await {
             // Final as hyper sees it: 101, to a request that asks for no other protocol.
             Ok(response) if response.status().is_informational() => Err(Fault::Broken),
             Ok(response) => Ok(response.into_parts()),
@@ -337,7 +270,7 @@
             });
         }
         match self.probe(remote).await {
-            Probe::Accepted(connection) => Ok(*connection),
+            Probe::Accepted(connection) => Ok(connection),
             Probe::Refused | Probe::Unknown => Err(Fault::NotSent),
         }
     }
@@ -352,7 +285,7 @@
         match lateness::timeout(CONNECT_TIMEOUT, connect).await {
             Ok(Ok(stream)) => {
                 let opened = self.open(remote, stream, place).await;
-                opened.map_or(Probe::Unknown, |it| Probe::Accepted(Box::new(it)))
+                opened.map_or(Probe::Unknown, Probe::Accepted)
             }
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
             Ok(Err(_)) | Err(_) => Probe::Unknown,
@@ -366,28 +299,16 @@
         stream: TcpStream,
         place: Option<SocketPlace>,
     ) -> Result<Connection, Fault> {
-        socket::set_options(&stream).map_err(|_| Fault::NotSent)?;
-        let stream = SharedStream::new(stream);
-        let (metered, meter) = Metered::new(stream.clone(), bounds::HEAD_ALLOWANCE);
-        let handshake = http1::Builder::new()
-            .max_buf_size(bounds::MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(metered));
-        let (sender, driver) = handshake.await.map_err(|_| Fault::NotSent)?;
+        let link = Link::open(stream, place).await;
         Ok(Connection {
             client: self.clone(),
             remote,
-            link: Link {
-                sender,
-                driver: Some(driver),
-                stream,
-                meter,
-                _place: place,
-            },
+            link: Box::new(link.map_err(|NotOpen| Fault::NotSent)?),
         })
     }
 
     /// Takes an idle connection that can be used. Others are closed.
-    fn take_idle(&self, remote: &Remote) -> Option<Link> {
+    fn take_idle(&self, remote: &Remote) -> Option<Box<Link>> {
         let mut all = self.idle.borrow_mut();
         let kept = all.get_mut(remote)?;
         let now = Instant::now();
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -7,7 +7,7 @@
     lateness, permits,
     replies::{self, Asked},
     shared::Shared,
-    suspects, unread,
+    suspects,
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_gate::{CrashReport, CrashSign, Target, UpstreamId};
@@ -25,6 +25,9 @@
 /// Longest wait for the answer to a health check, which may have to wait for a slot.
 const IDENTITY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Shortest time in which an upstream that crashed accepts connections again.
+const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
+
 /// What a probe shows about an upstream.
 enum Finding {
     /// The address refuses connections.
@@ -65,7 +68,7 @@
     };
     match shared.client.probe(remote).await {
         Probe::Refused => Finding::Refused,
-        Probe::Accepted(connection) => identify(shared, target, *connection).await,
+        Probe::Accepted(connection) => identify(shared, target, connection).await,
         Probe::Unknown => Finding::Unanswered,
     }
 }
@@ -145,7 +148,7 @@
 /// the end was read so late that the next incarnation may accept it. A connection that is accepted is
 /// kept for a later call.
 pub async fn may_have_cut_off<D>(shared: &Shared<D>, target: &Target) -> bool {
-    if shared.lateness.lately() >= unread::MIN_UNREAD_TIMEOUT {
+    if shared.lateness.recent() >= MIN_RESTART_TIME {
         return true;
     }
     if !shared.gate.borrow().would_end_in_crash(target.id) {
--- a/crates/edge/src/exchange/dispatch.rs
+++ b/crates/edge/src/exchange/dispatch.rs
@@ -36,13 +36,7 @@
             // What is left of the timeout counts from when the request is sent.
             let sent_at = self.shared.clock.now();
             connected.set(Some(sent_at));
-            // What the decision relied on may have changed while connecting.
-            let may_send = {
-                let gate = self.shared.gate.borrow();
-                gate.may_still_send(sent_at, state, target)
-            };
-            let key = admission::check_key(&self.shared, state);
-            let (true, Ok((_, identity))) = (may_send, key) else {
+            let Some(identity) = self.check_again(state, target, sent_at) else {
                 connection.return_to_pool(None);
                 return Ok(None);
             };
@@ -107,6 +101,18 @@
         self.relay_whole(state, target, answer).await
     }
 
+    /// Checks whether what was decided on a request still holds, at the moment at which it is sent. The
+    /// first byte is written in the same turn of the thread. Returns what the upstream learns of the
+    /// caller; `None` if another decision is needed.
+    fn check_again(&self, state: &RequestState, target: &Target, now: Time) -> Option<Identity> {
+        let gate = self.shared.gate.borrow();
+        if !gate.may_still_send(now, state, target) {
+            return None;
+        }
+        let (_, identity) = admission::check_key(&self.shared, state).ok()?;
+        Some(identity)
+    }
+
     fn upstream_request(
         &self,
         state: &RequestState,
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -38,16 +38,16 @@
 
     /// Longest time for which what the thread reads now may have waited for it. A measurement that
     /// is due counts, too: what has waited with it may be read first.
-    pub fn now(&self) -> Duration {
+    pub fn current(&self) -> Duration {
         self.last.get().max(self.due.get().elapsed())
     }
 
     /// The largest lateness of the last [`PEAK_PERIOD`]: after a pause, what has arrived meanwhile is read
     /// for a while.
-    pub fn lately(&self) -> Duration {
+    pub fn recent(&self) -> Duration {
         let (peak, at) = self.peak.get();
         let is_recent = at.elapsed() < PEAK_PERIOD;
-        self.now()
+        self.current()
             .max(if is_recent { peak } else { Duration::ZERO })
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,8 +6,9 @@
 //! their types and the platform's formats. One thread runs all tasks; they share the state
 //! in `shared::Shared`.
 //!
-//! - Requests: `caller` accepts callers' connections, `admission` checks heads, `exchange` takes one request from its
-//!   admission to its final answer, `client` holds the connections to upstreams.
+//! - Requests: `caller` accepts callers' connections, `arrival` tells for how long a request has
+//!   waited, `admission` checks heads, `exchange` takes one request from its admission to its final
+//!   answer, `client` holds the connections to upstreams, `link` is one of them.
 //! - Ends of answers: [`framing`] tells what marks the end of a body, [`events`] whether an event
 //!   stream has ended between two events.
 //! - Bytes without end: `bounds` has what is read of any peer at most, `meter` counts it.
@@ -20,7 +21,8 @@
 //!   orders; `lease_extension` extends the claim during an outage of the key-value service, and
 //!   `succession` makes sure that the holder before gives no more orders.
 //! - Speeds of engines: `speeds` logs what the gate has learned.
-//! - This host's own pace: `lateness` measures how late its thread is.
+//! - This host's own pace: `lateness` measures how late its thread is, and has waits that do not take
+//!   that for the silence of others.
 //! - Other hosts: `peers` makes and serves calls, `notices` sends and receives datagrams.
 //! - Requests that crash upstreams: `crashes` finds out whether an upstream has ended,
 //!   `suspects` shares the evidence with the other hosts, `refusals` keeps the requests that
@@ -35,6 +37,7 @@
 //!   metrics; `preview` tells operators where a request would go now.
 
 mod admission;
+mod arrival;
 pub mod bounds;
 mod caller;
 mod caller_metrics;
@@ -55,6 +58,7 @@
 mod lateness;
 mod lease_extension;
 mod limit_metrics;
+mod link;
 mod membership;
 mod meter;
 mod metrics;
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -2,21 +2,15 @@
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use std::{
-    io::{self, ErrorKind, IoSlice, Read},
-    net::{Shutdown, SocketAddr},
-    pin::Pin,
-    rc::Rc,
+    io,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    task::{Context, Poll, ready},
     time::Duration,
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::{TcpListener, TcpStream},
-};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Length of the queue of connections that wait to be accepted: more than a host serves in
 /// its grace period.
@@ -103,86 +97,3 @@
         self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// A connection that is looked at beside the task that reads it.
-#[derive(Clone, Debug)]
-pub struct SharedStream(Rc<TcpStream>);
-
-impl SharedStream {
-    pub fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
-    }
-
-    /// Whether nothing has arrived that was not read, neither bytes nor the end of the connection. Asks
-    /// the kernel: what the runtime knows may be as old as its last look. What has arrived is lost.
-    pub fn is_quiet(&self) -> bool {
-        let socket = SockRef::from(&*self.0);
-        let read = (&*socket).read(&mut [0]);
-        read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
-    }
-
-    fn poll_try_write(
-        &self,
-        context: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match write(&self.0) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
-    }
-}
-
-impl AsyncRead for SharedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
-                Ok(length) => {
-                    buffer.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for SharedStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.poll_try_write(context, |stream| stream.try_write(bytes))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.poll_try_write(context, |stream| stream.try_write_vectored(slices))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // A socket has no buffer of its own.
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
-    }
-}
--- a/crates/edge/src/unread.rs
+++ b/crates/edge/src/unread.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 /// Time after which an upstream may have cut off an answer that the host did not read: a body whose
-/// end is the end of its connection is then not taken for complete. Upstreams wait for some seconds, and
-/// take as long to start again.
-pub const MIN_UNREAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// end is the end of its connection is then not taken for complete. Upstreams wait for some seconds.
+const MIN_UNREAD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pauses in the reading of one answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -294,7 +294,7 @@
         shared.changed.notify_waiters();
         let rises = shared.store.rises();
         shared.proofs.record_position(Some(revision), rises);
-        let late = shared.lateness.now() * TURNS_TO_APPLY;
+        let late = shared.lateness.current() * TURNS_TO_APPLY;
         let delay = max_delay.mul_f64(BATCH_DELAY_SHARE).saturating_sub(late);
         let delay = delay.max(max_delay.mul_f64(MIN_BATCH_DELAY_SHARE));
         let delay = delay.min(max_wait);
