Review: hosts hang after engines crash under prompts of many parts

Cause: each shared part of a prompt that was in flight on a crash is a subject of its own. Once they are contested, each part is compared with each other one, and again for each piece of evidence that a host learns, on the host's only thread.

--- /dev/null
+++ b/review/standin-3/cases.rs
@@ -0,0 +1,484 @@
+//! The cases.
+
+use crate::{
+    engine::MODEL,
+    http::{self, Message, Stream},
+    world::{Host, MEMORY_MB, Record, World},
+};
+use std::{
+    path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+pub fn run(name: &str, folder: &Path) {
+    let world = World::begin(folder);
+    match name {
+        "crash" => crash(world),
+        "cut" => cut(world),
+        "memory" => memory(world, Duration::from_secs(16), send_uploads),
+        "names" => memory(world, Duration::from_secs(100), send_names),
+        "pieces" => pieces(world),
+        _ => panic!("no such case"),
+    }
+}
+
+/// The operator's configuration: a route for streams of the model engines, and one for bookings of a
+/// plain service.
+fn configure(world: &World) {
+    let engine = format!(
+        "{{\"slot-count\":64,\"kv-cache-tokens\":269690,\"kv-token-bytes\":163840,\"weights-mb\":220000,\"adapter-slot-count\":8,\"loads-per-s\":1.4,\"models\":[{{\"name\":\"{MODEL}\",\"weights-mb\":65100,\"load-time-s\":3.8,\"adapters\":0,\"adapter-mb\":12}}]}}"
+    );
+    let limits = "{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}";
+    let config = format!(
+        "{{\"version\":7,\"routes\":[{{\"name\":\"drafts\",\"hostname\":\"shop.example\",\"prefix\":\"/draft/\",\"route-kind\":\"streaming\",\"timeout-ms\":5000,\"target-latency-ms\":1000,\"priority\":1,\"service-name\":\"llm\",\"max-attempts\":2,\"sticky-sessions\":true,\"resumable\":false,\"target-gap-ms\":600}},{{\"name\":\"bookings\",\"hostname\":\"shop.example\",\"prefix\":\"/book/\",\"route-kind\":\"non_idempotent\",\"timeout-ms\":5000,\"target-latency-ms\":1000,\"priority\":2,\"service-name\":\"desk\",\"max-attempts\":2}}],\"services\":[{{\"name\":\"llm\",\"health-path\":\"/health\",\"max-connections\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{engine}}},{{\"name\":\"desk\",\"health-path\":\"/health\",\"max-connections\":110,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{limits}}}"
+    );
+    world.store.put("op/config", &config);
+}
+
+/// The parts of a prompt: `shared` ones that all prompts have, and one of its own.
+fn prompt(shared: u64, own: u64) -> String {
+    let parts = (0..shared).map(|number| format!("{:08x}:2,", 0x5c1e_0000 + number));
+    parts.collect::<String>() + &format!("{own:08x}:2")
+}
+
+/// The head of a request for a draft with this prompt, or for a booking.
+fn head(path: &str, id: u64, prompt: &str, framing: &str) -> String {
+    let prompt = if path.starts_with("/draft/") {
+        let tokens = 2 * prompt.split(',').count();
+        format!("Model: {MODEL}\r\nToken-Counts: {tokens},100\r\nPrompt-Prefix: {prompt}\r\n")
+    } else {
+        String::new()
+    };
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id:016x}\r\n{prompt}Deadline-Ms: 8000\r\n{framing}\r\n\r\n"
+    )
+}
+
+/// Sends a request with a small body and reads the answer, for as long as its client waits.
+fn ask(host: &Host, path: &str, id: u64, prompt: &str) -> Option<Message> {
+    let mut stream = http::connect(host.callers, Duration::from_secs(8)).ok()?;
+    let text = head(path, id, prompt, "Content-Length: 4") + "body";
+    http::write(&mut stream, text.as_bytes()).ok()?;
+    http::read(&mut stream, true).ok()?
+}
+
+fn describe(answer: Option<&Message>) -> String {
+    let Some(answer) = answer else {
+        return "no answer".to_owned();
+    };
+    let signature = answer.header("response-signature").unwrap_or("none");
+    let end = if answer.is_complete {
+        "whole"
+    } else {
+        "broken off"
+    };
+    let bytes = answer.body.len();
+    format!(
+        "status {}, signature {signature}, {bytes} bytes, {end}",
+        answer.status()
+    )
+}
+
+/// Asks hosts each second whether they are ready, until `until`.
+fn watch_readiness(hosts: &[Host], record: &Record, until: Instant) {
+    for (number, host) in hosts.iter().cloned().enumerate() {
+        let record = record.clone();
+        thread::spawn(move || {
+            while Instant::now() < until {
+                let begun = Instant::now();
+                let is_ready = host.is_ready();
+                let took = begun.elapsed().as_millis();
+                record.note(&format!(
+                    "host-{} asked for readiness: {is_ready} after {took} ms",
+                    number + 1
+                ));
+                thread::sleep(Duration::from_secs(1).saturating_sub(begun.elapsed()));
+            }
+        });
+    }
+}
+
+/// A quarter of the engines crash at once while they write answers to prompts of some hundred parts.
+/// The hosts go on answering.
+fn crash(mut world: World) -> ! {
+    const ENGINES: usize = 40;
+    const CRASHED: usize = 10;
+    const CLIENTS: u64 = 120;
+    const SHARED_PARTS: u64 = 800;
+    const LENGTH: Duration = Duration::from_secs(30);
+    /// The route's timeout, and how much later an answer may come.
+    const TIMEOUT: Duration = Duration::from_millis(5_000);
+    const SLACK: Duration = Duration::from_millis(500);
+    configure(&world);
+    let engines: Vec<_> = (0..ENGINES)
+        .map(|number| world.start_engine(&format!("i-{number}"), "llm", "framed"))
+        .collect();
+    let hosts: Vec<_> = (1..=3)
+        .map(|number| world.start_host(&format!("host-{number}")))
+        .collect();
+    if !world.are_ready(&hosts) {
+        world.give_up("a host did not get ready");
+    }
+    let until = Instant::now() + LENGTH;
+    watch_readiness(&hosts, &world.record, until);
+    // Requests that were served, that were unanswered at the timeout, and half a second later.
+    let counts = Arc::new(Mutex::new((0, 0, 0)));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let number = client as usize % hosts.len();
+            let (host, record, counts) =
+                (hosts[number].clone(), world.record.clone(), counts.clone());
+            thread::spawn(move || {
+                let mut id = 10_000 * (client + 1);
+                while Instant::now() < until {
+                    id += 1;
+                    record.note(&format!("sent {id:016x} to host-{}", number + 1));
+                    let begun = Instant::now();
+                    let answer = ask(&host, "/draft/30/100", id, &prompt(SHARED_PARTS, id));
+                    let took = begun.elapsed();
+                    let text = describe(answer.as_ref());
+                    record.note(&format!(
+                        "answered {id:016x} after {} ms: {text}",
+                        took.as_millis()
+                    ));
+                    let mut counts = counts.lock().expect("unpoisoned");
+                    counts.0 +=
+                        u32::from(answer.is_some_and(|it| it.status() == 200 && it.is_complete));
+                    counts.1 += u32::from(took > TIMEOUT);
+                    counts.2 += u32::from(took > TIMEOUT + SLACK);
+                    drop(counts);
+                    thread::sleep(Duration::from_millis(200));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(5));
+    if world.is_disrupted {
+        let crashed = &engines[..CRASHED];
+        for engine in crashed {
+            engine.is_gone();
+            world.kill(engine.pid);
+        }
+        world
+            .record
+            .note(&format!("{CRASHED} of {ENGINES} engines have crashed"));
+        thread::sleep(Duration::from_secs(2));
+        for number in 0..CRASHED {
+            world.start_engine(&format!("i-{}", ENGINES + number), "llm", "framed");
+        }
+    }
+    for client in clients {
+        let _ended = client.join();
+    }
+    let (served, at_timeout, later) = *counts.lock().expect("unpoisoned");
+    if served == 0 {
+        world.give_up("nothing was served");
+    }
+    let why = format!(
+        "{served} requests served; {at_timeout} without an answer at their route's timeout, {later} of them half a second later as well"
+    );
+    world.end(at_timeout >= 8 && later * 2 > at_timeout, &why)
+}
+
+/// An engine whose answers end with their connection is taken away at short notice while it answers.
+/// What it could not finish must not look complete to the clients.
+fn cut(mut world: World) -> ! {
+    const PIECES: usize = 30;
+    const CLIENTS: u64 = 12;
+    const NOTICE: Duration = Duration::from_millis(2_000);
+    configure(&world);
+    let leaving = ["llm", "desk"].map(|service| {
+        world.start_engine(&format!("i-{service}-stays"), service, "unframed");
+        world.start_engine(&format!("i-{service}-leaves"), service, "unframed")
+    });
+    let host = world.start_host("host-1");
+    if !world.are_ready(std::slice::from_ref(&host)) {
+        world.give_up("a host did not get ready");
+    }
+    let until = Instant::now() + Duration::from_secs(14);
+    // Whole answers, those that look whole and are not, those that are broken off, and others.
+    let counts = Arc::new(Mutex::new([0; 4]));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (host, record, counts) = (host.clone(), world.record.clone(), counts.clone());
+            let path = if client % 2 == 0 {
+                "/draft/30/100"
+            } else {
+                "/book/30/100"
+            };
+            thread::spawn(move || {
+                let mut id = 10_000 * (client + 1);
+                while Instant::now() < until {
+                    id += 1;
+                    record.note(&format!("sent {id:016x}: {path}"));
+                    let answer = ask(&host, path, id, &prompt(2, id));
+                    let text = answer
+                        .as_ref()
+                        .map(|it| String::from_utf8_lossy(&it.body).into_owned());
+                    let pieces = text.unwrap_or_default().matches(" of 30").count();
+                    record.note(&format!(
+                        "answered {id:016x}: {}, {pieces} of {PIECES} pieces",
+                        describe(answer.as_ref())
+                    ));
+                    let kind = match answer {
+                        Some(it) if it.status() == 200 && it.is_complete => {
+                            usize::from(pieces < PIECES)
+                        }
+                        Some(it) if it.status() == 200 => 2,
+                        _ => 3,
+                    };
+                    counts.lock().expect("unpoisoned")[kind] += 1;
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(4));
+    if world.is_disrupted {
+        for engine in &leaving {
+            world.record.note(&format!(
+                "engine {} reports draining, {} ms remain",
+                engine.id,
+                NOTICE.as_millis()
+            ));
+            engine.report_draining(NOTICE.as_millis());
+        }
+        thread::sleep(NOTICE);
+        for engine in &leaving {
+            engine.is_gone();
+            world.kill(engine.pid);
+            world.record.note(&format!("engine {} is gone", engine.id));
+        }
+    }
+    for client in clients {
+        let _ended = client.join();
+    }
+    let [whole, false_ends, broken_off, others] = *counts.lock().expect("unpoisoned");
+    if whole == 0 {
+        world.give_up("nothing was served");
+    }
+    let why = format!(
+        "{whole} whole answers, {false_ends} that look whole and are not, {broken_off} broken off, {others} others"
+    );
+    world.end(false_ends > 0, &why)
+}
+
+/// A request of legal size, of which the last byte is missing.
+fn begin_upload(host: &Host, id: u64) -> Option<Stream> {
+    const BODY: usize = 60_000;
+    /// As many as fit into a head of 16,384 bytes.
+    const PARTS: u64 = 2_600;
+    let mut stream = http::connect(host.callers, Duration::from_secs(8)).ok()?;
+    let parts = (0..PARTS).map(|number| format!("{:x}:1", (id + number) % 4_096));
+    let parts: Vec<String> = parts.collect();
+    let text = head(
+        "/draft/20/50",
+        id,
+        &parts.join(","),
+        &format!("Content-Length: {BODY}"),
+    );
+    assert!(text.len() < 16_384, "the head is inside the limits");
+    let text = text + &"x".repeat(BODY - 1);
+    http::write(&mut stream, text.as_bytes()).ok()?;
+    Some(stream)
+}
+
+/// Sends bookings one after the other on one connection until it ends. Returns the booking that was sent
+/// on the kept connection and got no answer, if there is one.
+fn book_on_kept_connection(
+    host: &Host,
+    first: u64,
+    record: &Record,
+    until: Instant,
+) -> Option<u64> {
+    let mut stream = http::connect(host.callers, Duration::from_secs(8)).ok()?;
+    for id in first.. {
+        if Instant::now() > until {
+            return None;
+        }
+        let text = head("/book/15/100", id, "", "Content-Length: 4") + "body";
+        record.note(&format!(
+            "sent {id:016x} on a connection with {} requests before",
+            id - first
+        ));
+        let answer = match http::write(&mut stream, text.as_bytes()) {
+            Ok(()) => http::read(&mut stream, true).ok().flatten(),
+            Err(_) => None,
+        };
+        record.note(&format!(
+            "answered {id:016x}: {}",
+            describe(answer.as_ref())
+        ));
+        if answer.is_none_or(|it| !it.is_complete) {
+            return (id > first).then_some(id);
+        }
+    }
+    None
+}
+
+/// Sends many uploads of legal size, whose prompts have very many parts and whose bodies stop just short of
+/// their ends, and leaves them open.
+fn send_uploads(host: &Host, is_over: &AtomicBool, sent: &AtomicU64) {
+    const CROWD: u64 = 1_900;
+    let mut open = Vec::new();
+    for number in 0..CROWD {
+        if is_over.load(Ordering::Relaxed) {
+            return;
+        }
+        open.extend(begin_upload(host, 1_000_000 + number));
+        sent.fetch_add(1, Ordering::Relaxed);
+    }
+    while !is_over.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Sends requests of legal size one after the other on one connection, each of which names another model
+/// that does not exist.
+fn send_names(host: &Host, is_over: &AtomicBool, sent: &AtomicU64) {
+    const INTERVAL: Duration = Duration::from_millis(4);
+    const NAME_BYTES: usize = 15_000;
+    let mut stream = None;
+    let mut next = Instant::now();
+    for id in 1_000_000.. {
+        if is_over.load(Ordering::Relaxed) {
+            return;
+        }
+        if stream.is_none() {
+            stream = http::connect(host.callers, Duration::from_secs(8)).ok();
+        }
+        let name = format!("{id:x}") + &"m".repeat(NAME_BYTES);
+        let text = format!(
+            "POST /draft/20/50 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id:016x}\r\nModel: {name}\r\nToken-Counts: 100,100\r\nPrompt-Prefix: {id:x}:100\r\nDeadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        assert!(text.len() < 16_384, "the head is inside the limits");
+        let answer = stream.as_mut().and_then(|stream| {
+            http::write(stream, text.as_bytes()).ok()?;
+            http::read(stream, true).ok()?
+        });
+        if answer.is_none_or(|it| it.header("connection") == Some("close")) {
+            stream = None;
+        }
+        sent.fetch_add(1, Ordering::Relaxed);
+        next += INTERVAL;
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// Clients that are not controlled send requests of legal size. The platform kills a process whose memory
+/// exceeds that of its machine.
+fn memory(mut world: World, length: Duration, disrupt: fn(&Host, &AtomicBool, &AtomicU64)) -> ! {
+    const CLIENTS: u64 = 8;
+    configure(&world);
+    for number in 0..2 {
+        world.start_engine(&format!("i-llm-{number}"), "llm", "framed");
+        world.start_engine(&format!("i-desk-{number}"), "desk", "framed");
+    }
+    let limit_kb = MEMORY_MB << 10;
+    let host = world.start_host("host-1");
+    if !world.are_ready(std::slice::from_ref(&host)) {
+        world.give_up("a host did not get ready");
+    }
+    let until = Instant::now() + length;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (host, record) = (host.clone(), world.record.clone());
+            thread::spawn(move || {
+                book_on_kept_connection(&host, 10_000 * (client + 1), &record, until)
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(4));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let sent = Arc::new(AtomicU64::new(0));
+    let others = world.is_disrupted.then(|| {
+        let (host, is_over, sent) = (host.clone(), is_over.clone(), sent.clone());
+        thread::spawn(move || disrupt(&host, &is_over, &sent))
+    });
+    let mut peak_kb = 0;
+    let mut noted = Instant::now();
+    while Instant::now() < until && peak_kb <= limit_kb {
+        peak_kb = peak_kb.max(host.resident_kb());
+        thread::sleep(Duration::from_millis(20));
+        if noted.elapsed() >= Duration::from_secs(1) {
+            noted = Instant::now();
+            let sent = sent.load(Ordering::Relaxed);
+            world.record.note(&format!(
+                "{sent} requests of the others sent; host-1 has at most {peak_kb} KB"
+            ));
+        }
+    }
+    let sent = sent.load(Ordering::Relaxed);
+    if peak_kb > limit_kb {
+        world.record.note(&format!(
+            "host-1 has {peak_kb} KB of {limit_kb} KB: the platform kills it"
+        ));
+        world.kill(host.pid);
+    }
+    is_over.store(true, Ordering::Relaxed);
+    if let Some(others) = others {
+        let _ended = others.join();
+    }
+    let unanswered = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok().flatten());
+    let unanswered: Vec<u64> = unanswered.collect();
+    // A request that was not passed on does not count.
+    let record = std::fs::read_to_string(&world.record_path).unwrap_or_default();
+    let lost = unanswered
+        .iter()
+        .filter(|id| record.contains(&format!("runs {id:016x}")))
+        .count();
+    let why = format!(
+        "{sent} requests of the others, at most {peak_kb} KB of {limit_kb} KB; {lost} bookings ran and were not answered"
+    );
+    world.end(lost > 3, &why)
+}
+
+/// Clients send bodies inside the limits in small chunks.
+fn pieces(mut world: World) -> ! {
+    const REQUESTS: u64 = 20;
+    /// The usual size of a draft's request.
+    const BODY: usize = 18_000;
+    configure(&world);
+    for number in 0..2 {
+        world.start_engine(&format!("i-{number}"), "desk", "framed");
+    }
+    let host = world.start_host("host-1");
+    if !world.are_ready(std::slice::from_ref(&host)) {
+        world.give_up("a host did not get ready");
+    }
+    let chunk = if world.is_disrupted { 5 } else { BODY };
+    let (mut served, mut denied) = (0, 0);
+    for id in 1..=REQUESTS {
+        let ask = || {
+            let mut stream = http::connect(host.callers, Duration::from_secs(8)).ok()?;
+            let mut text = head("/book/1/10", id, "", "Transfer-Encoding: chunked").into_bytes();
+            for _ in 0..BODY / chunk {
+                text.extend(format!("{chunk:x}\r\n").bytes());
+                text.extend(std::iter::repeat_n(b'x', chunk));
+                text.extend(b"\r\n");
+            }
+            text.extend(b"0\r\n\r\n");
+            let _sent = http::write(&mut stream, &text);
+            http::read(&mut stream, true).ok()?
+        };
+        let answer = ask();
+        world.record.note(&format!(
+            "sent {id:016x}, {BODY} bytes in chunks of {chunk}; answered: {}",
+            describe(answer.as_ref())
+        ));
+        let status = answer.as_ref().map_or(0, Message::status);
+        let is_own = answer.is_some_and(|it| it.header("response-signature").is_none());
+        served += u32::from(status == 200);
+        denied +=
+            u32::from(is_own && (300..500).contains(&status) && ![408, 421, 429].contains(&status));
+    }
+    let why =
+        format!("{served} of {REQUESTS} requests served, {denied} ended with a 4xx of the host");
+    world.end(u64::from(denied) > 5 + REQUESTS / 500, &why)
+}
