--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A client sends requests of legal size that name models which do not exist.
+# Clients send bodies inside the limits in small chunks.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
 # disruption out. Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
@@ -8,7 +8,7 @@
 [ "$(ulimit -n)" = unlimited ] || [ "$(ulimit -n)" -ge 8192 ] || ulimit -n 8192 || exit 2
 PROCESSES=$(mktemp) || exit 2
 export PROCESSES
-"$standin" names review/14 &
+"$standin" pieces review/14 &
 child=$!
 trap 'kill -9 "$child" $(cat "$PROCESSES"); rm -f "$PROCESSES"; exit 2' HUP INT TERM
 wait "$child"
