Edge: bytes by kind, the times of calls to the service, and processor time in the log

link-traffic (every 10 s) and mulberryrack_link_bytes count payload bytes each way by kind; store-slow splits a call into the time until the head of its answer and that of its bytes; thread-late tells the processor time used meanwhile, and link-traffic sums all lateness from 10 ms on, so that a quota shows as many pauses with little processor time. No logic is changed.

--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -13,6 +13,7 @@
     peers::PlannerLink,
     shared::Shared,
     socket,
+    traffic::Kind,
     usage::Charge,
 };
 use bytes::{Buf, Bytes};
@@ -235,6 +236,7 @@
     if let Some(seat) = &seat {
         stream = stream.watched_by(seat.clone());
     }
+    meter.count_in(shared.metrics.traffic.of(Kind::Callers));
     let is_refused_early = Cell::new(false);
     let service = service_fn(|request| {
         let (shared, link, meter) = (shared.clone(), link.clone(), meter.clone());
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -8,6 +8,7 @@
     link::{Link, NotOpen},
     meter::ReadState,
     socket::{SocketPlace, Sockets},
+    traffic::Tally,
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, response};
@@ -61,6 +62,10 @@
     pub name: Name,
 }
 
+/// When the head of an answer had been read; an extension of the answers of [`Client::call`].
+#[derive(Clone, Copy, Debug)]
+pub struct HeadAt(pub Instant);
+
 /// All places for connections are taken.
 struct NoSocket;
 
@@ -101,6 +106,11 @@
         all.entry(self.remote).or_default().push(kept);
     }
 
+    /// Counts what crosses the link on this connection from now on.
+    pub fn count_in(&self, tally: &Tally) {
+        self.link.meter.count_in(tally);
+    }
+
     /// Allows `bytes` to be read for the body of the answer.
     pub fn allow(&self, bytes: u64) {
         self.link.meter.allow(bytes);
@@ -162,11 +172,14 @@
         mut self,
         mut request: Request<Bytes>,
         max_bytes: usize,
+        tally: &Tally,
     ) -> Result<Response<Bytes>, Fault> {
+        self.count_in(tally);
         let host = self.remote.address.to_string();
         let value = HeaderValue::from_str(&host).expect("an address is plain text");
         request.headers_mut().insert(header::HOST, value);
-        let (head, body) = self.send(request).await?;
+        let (mut head, body) = self.send(request).await?;
+        head.extensions.insert(HeadAt(Instant::now()));
         let body = self.read_body(body, max_bytes).await?;
         if !is_refusal(head.status) {
             self.return_to_pool(None);
@@ -333,10 +346,11 @@
         request: Request<Bytes>,
         max_bytes: usize,
         timeout: Duration,
+        tally: &Tally,
     ) -> Result<Response<Bytes>, Fault> {
         let whole = async {
             let connection = self.connect(remote, false).await?;
-            connection.round_trip(request, max_bytes).await
+            connection.round_trip(request, max_bytes, tally).await
         };
         lateness::timeout(timeout, whole)
             .await
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -8,6 +8,7 @@
     replies::{self, Asked},
     shared::Shared,
     suspects,
+    traffic::Kind,
 };
 use mulberryrack_core::{Name, Time};
 use mulberryrack_gate::{CrashReport, CrashSign, Target, UpstreamId};
@@ -96,7 +97,11 @@
         return Finding::Unanswered;
     };
     let request = shared.dialect.health_call(&path);
-    let answer = connection.round_trip(request, bounds::MAX_ACKNOWLEDGEMENT_BYTES);
+    let answer = connection.round_trip(
+        request,
+        bounds::MAX_ACKNOWLEDGEMENT_BYTES,
+        shared.metrics.traffic.of(Kind::Probes),
+    );
     let answer = match lateness::timeout(IDENTITY_TIMEOUT, answer).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(Fault::Excessive)) => {
--- a/crates/edge/src/endpoint.rs
+++ b/crates/edge/src/endpoint.rs
@@ -8,6 +8,7 @@
     preview,
     shared::Shared,
     socket,
+    traffic::Kind,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -78,6 +79,7 @@
         let shared = shared.clone();
         task::spawn_local(async move {
             let (stream, meter) = Metered::new(stream, bounds::ENDPOINT_ALLOWANCE);
+            meter.count_in(shared.metrics.traffic.of(Kind::Endpoints));
             let stream = stream.watched_by(seat.clone());
             let service = service_fn(|request| {
                 meter.allow(bounds::ENDPOINT_ALLOWANCE);
--- a/crates/edge/src/exchange/dispatch.rs
+++ b/crates/edge/src/exchange/dispatch.rs
@@ -6,6 +6,7 @@
     client::{Fault, Remote},
     events, lateness,
     replies::{self, Asked},
+    traffic::Kind,
 };
 use bytes::Bytes;
 use http::{Request, StatusCode, uri::PathAndQuery};
@@ -36,6 +37,7 @@
             // What is left of the timeout counts from when the request is sent.
             let sent_at = self.shared.clock.now();
             connected.set(Some(sent_at));
+            connection.count_in(self.shared.metrics.traffic.of(Kind::Upstreams));
             let Some(identity) = self.check_again(state, target, sent_at) else {
                 connection.return_to_pool(None);
                 return Ok(None);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -17,7 +17,7 @@
     shared::{Phase, Shared, Stop},
     socket::{self, Sockets},
     store::Store,
-    succession, suspects, tokens,
+    succession, suspects, tokens, traffic,
     usage::{self, Usage},
     watch,
 };
@@ -212,6 +212,7 @@
     task::spawn_local(succession::run(shared.clone()));
     task::spawn_local(sweep_idle_connections(shared.clone()));
     task::spawn_local(lateness::run(shared.clone()));
+    task::spawn_local(traffic::log(shared.clone()));
     task::spawn_local(caller::sweep(shared.clone()));
     let membership = task::spawn_local(membership::run(shared.clone()));
     journal!(
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -1,7 +1,7 @@
 //! Measures how late the host's thread is: all tasks run on it, so that each change, decision and
 //! answer is at least as late. A thread that is late must not take that for the silence of others.
 
-use crate::{journal::journal, shared::Shared};
+use crate::{journal::journal, shared::Shared, traffic};
 use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 use tokio::{
     task,
@@ -15,6 +15,18 @@
 /// Lateness from which on it is logged.
 const NOTABLE_LATENESS: Duration = Duration::from_millis(100);
 
+/// Lateness from which on a measurement counts in a [`Sum`]: more than the delay of a timer.
+const COUNTED_LATENESS: Duration = Duration::from_millis(10);
+
+/// How late the thread was in an interval. A quota of processor time shows in many short pauses.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sum {
+    /// All lateness of at least [`COUNTED_LATENESS`] together.
+    pub total: Duration,
+    /// Number of measurements with such a lateness.
+    pub pauses: u32,
+}
+
 /// How late the host's thread is.
 #[derive(Debug)]
 pub struct Lateness {
@@ -24,6 +36,8 @@
     last: Cell<Duration>,
     /// The largest recent lateness, and when it was measured.
     peak: Cell<(Duration, Instant)>,
+    /// Since the last call of [`Lateness::take_sum`].
+    sum: Cell<Sum>,
 }
 
 impl Lateness {
@@ -33,6 +47,7 @@
             due: Cell::new(Instant::now()),
             last: Cell::default(),
             peak: Cell::new((Duration::ZERO, Instant::now())),
+            sum: Cell::default(),
         }
     }
 
@@ -51,12 +66,24 @@
             .max(if is_recent { peak } else { Duration::ZERO })
     }
 
+    /// How late the thread was since the last call.
+    pub fn take_sum(&self) -> Sum {
+        self.sum.take()
+    }
+
     async fn measure(&self) -> Duration {
         let due = Instant::now() + INTERVAL;
         self.due.set(due);
         time::sleep_until(due).await;
         let late = due.elapsed();
         self.last.set(late);
+        if late >= COUNTED_LATENESS {
+            let Sum { total, pauses } = self.sum.get();
+            self.sum.set(Sum {
+                total: total + late,
+                pauses: pauses + 1,
+            });
+        }
         let (peak, at) = self.peak.get();
         if late >= peak || at.elapsed() >= PEAK_PERIOD {
             self.peak.set((late, Instant::now()));
@@ -99,10 +126,17 @@
 /// Measures until the process ends.
 pub async fn run<D>(shared: Rc<Shared<D>>) {
     loop {
+        let cpu_before = traffic::processor_time();
         let late = shared.lateness.measure().await;
         shared.metrics.record_lateness(late);
         if late >= NOTABLE_LATENESS {
-            journal!(warn, "thread-late", late_ms = late.as_millis());
+            let cpu = traffic::processor_time().saturating_sub(cpu_before);
+            journal!(
+                warn,
+                "thread-late",
+                late_ms = late.as_millis(),
+                cpu_ms = cpu.as_millis()
+            );
             shared.lateness.follow_up().await;
         }
     }
--- a/crates/edge/src/lease_extension.rs
+++ b/crates/edge/src/lease_extension.rs
@@ -2,7 +2,12 @@
 //! may go on giving orders as long as all voters that its record names say that they do not
 //! reach the service either.
 
-use crate::{journal::journal, peers, shared::Shared};
+use crate::{
+    journal::journal,
+    peers,
+    shared::Shared,
+    traffic::{Kind, Tally},
+};
 use mulberryrack_core::{
     Name,
     kv::{Era, Revision},
@@ -92,9 +97,10 @@
             continue;
         };
         let asked_at = shared.clock.now();
+        let tally = shared.metrics.traffic.of(Kind::Peers);
         let electorate = shared.succession.borrow().electorate(fence);
         let contacts = match electorate {
-            Some(electorate) => ask_all(electorate, fence, &mut channels).await,
+            Some(electorate) => ask_all(electorate, fence, &mut channels, tally).await,
             None => None,
         };
         // Every voter must have lost the service before the lease may have ended. The answers
@@ -127,10 +133,11 @@
     electorate: Vec<Process>,
     fence: Fence,
     channels: &mut BTreeMap<Name, Channel>,
+    tally: &Tally,
 ) -> Option<Vec<Contact>> {
     let mut questions = JoinSet::new();
     for voter in electorate {
-        let connect = || peers::channel_to(voter.peers, ANSWER_TIMEOUT);
+        let connect = || peers::channel_to(voter.peers, ANSWER_TIMEOUT, tally);
         let channel = channels.entry(voter.host.clone()).or_insert_with(connect);
         let channel = channel.clone();
         questions.spawn(async move {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 //! - Speeds of engines: `speeds` logs what the gate has learned.
 //! - This host's own pace: `lateness` measures how late its thread is, and has waits that do not take
 //!   that for the silence of others.
+//! - The host's link: `traffic` counts what crosses it.
 //! - Other hosts: `peers` makes and serves calls, `notices` sends and receives datagrams.
 //! - Requests that crash upstreams: `crashes` finds out whether an upstream has ended,
 //!   `suspects` shares the evidence with the other hosts, `refusals` keeps the requests that
@@ -79,6 +80,7 @@
 mod succession;
 mod suspects;
 mod tokens;
+mod traffic;
 pub mod unread;
 mod usage;
 mod usage_metrics;
--- a/crates/edge/src/meter.rs
+++ b/crates/edge/src/meter.rs
@@ -1,9 +1,9 @@
 //! Limits the bytes that are read from a connection. A limit on bodies alone does not cover what
 //! is no body: interim answers, the sizes of chunks and the trailers after them.
 
-use crate::holdings::Seat;
+use crate::{holdings::Seat, traffic::Tally};
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     pin::Pin,
     rc::Rc,
@@ -47,6 +47,8 @@
     read_state: Rc<Cell<ReadState>>,
     /// Time of the first write since [`Meter::expect_write`].
     written_at: Rc<Cell<Option<Instant>>>,
+    /// Where the bytes are counted; `None` if nowhere.
+    tally: Rc<RefCell<Option<Tally>>>,
 }
 
 impl Meter {
@@ -55,6 +57,11 @@
         self.left.set(bytes);
     }
 
+    /// Counts what is read and written from now on.
+    pub fn count_in(&self, tally: &Tally) {
+        *self.tally.borrow_mut() = Some(tally.clone());
+    }
+
     /// Whether the remote side has sent more than was allowed.
     pub fn is_exceeded(&self) -> bool {
         self.exceeded.get()
@@ -70,7 +77,10 @@
         self.written_at.get()
     }
 
-    fn record_written(&self) {
+    fn record_written(&self, bytes: usize) {
+        if let Some(tally) = &*self.tally.borrow() {
+            tally.record_sent(bytes);
+        }
         if self.written_at.get().is_none() {
             self.written_at.set(Some(Instant::now()));
         }
@@ -83,6 +93,9 @@
 
     /// Counts bytes that were read. Returns whether they were allowed.
     fn take(&self, bytes: usize) -> bool {
+        if let Some(tally) = &*self.tally.borrow() {
+            tally.record_received(bytes);
+        }
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
         let left = self.left.get();
         self.left.set(left.saturating_sub(bytes));
@@ -112,6 +125,7 @@
             exceeded: Rc::default(),
             read_state: Rc::default(),
             written_at: Rc::default(),
+            tally: Rc::default(),
         };
         let metered = Self {
             stream,
@@ -135,8 +149,8 @@
     }
 
     fn record_write(&mut self, written: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(_)) = written {
-            self.meter.record_written();
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.meter.record_written(*bytes);
         }
         let is_blocked = written.is_pending();
         if is_blocked != self.is_blocked
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     caller_metrics::CallerMetrics, fairness_metrics::FairnessMetrics, limit_metrics::LimitMetrics,
-    usage_metrics::UsageMetrics,
+    traffic::Traffic, usage_metrics::UsageMetrics,
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -73,6 +73,11 @@
     registered(registry, name, help, Gauge::default())
 }
 
+fn store_calls(registry: &mut Registry) -> Family<CallLabels, Counter> {
+    let help = "Calls to the key-value service";
+    registered(registry, "store_calls", help, Family::default())
+}
+
 fn proofs(registry: &mut Registry) -> Family<ProofLabels, Counter> {
     let help = "Proofs that the configuration in force is the newest one, by their source";
     registered(registry, "configuration_proofs", help, Family::default())
@@ -104,6 +109,8 @@
     first_event_seconds: Histogram,
     request_seconds: Histogram,
     lateness_seconds: Histogram,
+    /// What crosses the host's link.
+    pub traffic: Traffic,
     /// What is held for callers.
     pub callers: CallerMetrics,
     /// Number of admitted requests without a final answer.
@@ -148,12 +155,7 @@
                 "Requests sent once more",
                 Family::default(),
             ),
-            store_calls: registered(
-                &mut registry,
-                "store_calls",
-                "Calls to the key-value service",
-                Family::default(),
-            ),
+            store_calls: store_calls(&mut registry),
             proofs: proofs(&mut registry),
             orders: registered(
                 &mut registry,
@@ -223,9 +225,10 @@
             lateness_seconds: registered(
                 &mut registry,
                 "thread_lateness_seconds",
-                "How late the host's thread was, four times a second",
+                "How late the host's thread was, ten times a second",
                 Histogram::new(buckets()),
             ),
+            traffic: Traffic::new(&mut registry),
             callers: CallerMetrics::new(&mut registry),
             open_requests: gauge(&mut registry, "open_requests", "Requests without an end"),
             config_version: gauge(&mut registry, "config_version", "Configuration in force"),
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -2,7 +2,14 @@
 //! engines have in memory, upstreams that leave, evidence on requests that crash upstreams,
 //! permits for those that are on trial, and proofs that the configuration is current.
 
-use crate::{journal::journal, permits, proofs, replies, shared::Shared, suspects, tokens, usage};
+use crate::{
+    journal::journal,
+    permits, proofs, replies,
+    shared::Shared,
+    suspects, tokens,
+    traffic::{Kind, Tally},
+    usage,
+};
 use mulberryrack_core::Name;
 use mulberryrack_gate::{ModelChange, PromptNotice, SpeedSample};
 use mulberryrack_site::Dialect;
@@ -60,12 +67,13 @@
 
 /// Sends a datagram to all other hosts. A datagram that cannot be sent is dropped.
 pub fn broadcast<D>(shared: &Shared<D>, body: Body) {
+    let tally = shared.metrics.traffic.of(Kind::of_datagram(&body));
     let bytes = plan::Datagram { body: Some(body) }.encode_to_vec();
     for (registration, _) in shared.hosts.borrow().values() {
         if registration.host == shared.settings.host {
             continue;
         }
-        send_bytes(shared, &bytes, registration.peers);
+        send_bytes(shared, tally, &bytes, registration.peers);
     }
 }
 
@@ -79,13 +87,15 @@
 
 /// Sends a datagram to one host. A datagram that cannot be sent is dropped.
 pub fn send<D>(shared: &Shared<D>, body: Body, to: SocketAddr) {
+    let tally = shared.metrics.traffic.of(Kind::of_datagram(&body));
     let bytes = plan::Datagram { body: Some(body) }.encode_to_vec();
-    send_bytes(shared, &bytes, to);
+    send_bytes(shared, tally, &bytes, to);
 }
 
-fn send_bytes<D>(shared: &Shared<D>, bytes: &[u8], to: SocketAddr) {
-    if let Err(error) = shared.datagrams.try_send_to(bytes, to) {
-        journal!(debug, "notice-not-sent", address = to, error = error);
+fn send_bytes<D>(shared: &Shared<D>, tally: &Tally, bytes: &[u8], to: SocketAddr) {
+    match shared.datagrams.try_send_to(bytes, to) {
+        Ok(length) => tally.record_sent(length),
+        Err(error) => journal!(debug, "notice-not-sent", address = to, error = error),
     }
 }
 
@@ -102,7 +112,13 @@
             }
         };
         match plan::Datagram::decode(&buffer[..length]) {
-            Ok(datagram) => handle(&shared, datagram.body, sender),
+            Ok(datagram) => {
+                if let Some(body) = &datagram.body {
+                    let kind = Kind::of_datagram(body);
+                    shared.metrics.traffic.of(kind).record_received(length);
+                }
+                handle(&shared, datagram.body, sender);
+            }
             Err(error) => journal!(warn, "notice-unreadable", error = error),
         }
     }
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -8,6 +8,7 @@
     lateness, notices,
     replies::{self, Asked},
     shared::Shared,
+    traffic::Kind,
 };
 use bytes::Bytes;
 use http::Response;
@@ -101,7 +102,13 @@
     let asked = asked(shared, &name);
     let answer = shared
         .client
-        .call(remote, request, bounds::MAX_REPORT_BYTES, CALL_TIMEOUT)
+        .call(
+            remote,
+            request,
+            bounds::MAX_REPORT_BYTES,
+            CALL_TIMEOUT,
+            shared.metrics.traffic.of(Kind::Probes),
+        )
         .await;
     let report = match answer {
         Ok(answer) => {
@@ -266,7 +273,11 @@
         fence: fence.token(shared.first_era.get().unwrap_or_default()),
     };
     let request = shared.dialect.order_call(&order);
-    let answer = connection.round_trip(request, bounds::MAX_ACKNOWLEDGEMENT_BYTES);
+    let answer = connection.round_trip(
+        request,
+        bounds::MAX_ACKNOWLEDGEMENT_BYTES,
+        shared.metrics.traffic.of(Kind::Orders),
+    );
     let answer = lateness::timeout(CALL_TIMEOUT, answer);
     match answer.await.unwrap_or(Err(Fault::Silent)) {
         Ok(answer) => {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,6 +8,7 @@
     quota::Limited,
     shared::Shared,
     socket::{self, Sockets},
+    traffic::{Kind, Tally},
 };
 use http::Uri;
 use hyper_util::rt::TokioIo;
@@ -134,6 +135,7 @@
     sockets: Option<Sockets>,
 ) {
     let (calls, mut taken) = mpsc::channel(CALL_QUEUE_LENGTH);
+    let tally = shared.metrics.traffic.of(Kind::Peers).clone();
     let handler = PlannerServer::new(PlannerHandler { calls })
         .max_decoding_message_size(bounds::MAX_PEER_MESSAGE_BYTES);
     let served = Server::builder()
@@ -148,7 +150,9 @@
                     Some(sockets) => Some(sockets.take()?),
                     None => None,
                 };
-                let limit = |stream| Limited::new(stream, bounds::CALLS_QUOTA).with_place(place);
+                let limit = |stream| {
+                    Limited::new(stream, bounds::CALLS_QUOTA, tally.clone()).with_place(place)
+                };
                 Some(stream.map(limit))
             }),
         );
@@ -196,14 +200,14 @@
 }
 
 impl PlannerLink {
-    fn channel(&self, address: SocketAddr) -> Channel {
+    fn channel(&self, address: SocketAddr, tally: &Tally) -> Channel {
         let mut kept = self.channel.borrow_mut();
         if let Some((to, channel)) = &*kept
             && *to == address
         {
             return channel.clone();
         }
-        let channel = channel_to(address, CALL_TIMEOUT);
+        let channel = channel_to(address, CALL_TIMEOUT, tally);
         *kept = Some((address, channel.clone()));
         channel
     }
@@ -215,12 +219,16 @@
 
 /// Creates a channel to another host. The first call opens the connection. A host that answers
 /// with more than its quota loses the connection.
-pub fn channel_to(address: SocketAddr, timeout: Duration) -> Channel {
-    let connect = tower::service_fn(move |_: Uri| async move {
-        let stream = lateness::timeout(timeout, TcpStream::connect(address)).await??;
-        socket::set_options(&stream)?;
-        let limited = Limited::new(stream, bounds::ANSWERS_QUOTA);
-        io::Result::Ok(TokioIo::new(limited))
+pub fn channel_to(address: SocketAddr, timeout: Duration, tally: &Tally) -> Channel {
+    let tally = tally.clone();
+    let connect = tower::service_fn(move |_: Uri| {
+        let tally = tally.clone();
+        async move {
+            let stream = lateness::timeout(timeout, TcpStream::connect(address)).await??;
+            socket::set_options(&stream)?;
+            let limited = Limited::new(stream, bounds::ANSWERS_QUOTA, tally);
+            io::Result::Ok(TokioIo::new(limited))
+        }
     });
     let endpoint = Endpoint::from_shared(format!("http://{address}"));
     endpoint
@@ -262,7 +270,7 @@
             orders::record(&shared, &demands);
             continue;
         }
-        let channel = link.channel(holder.peers);
+        let channel = link.channel(holder.peers, shared.metrics.traffic.of(Kind::Peers));
         let message = plan::Demand {
             host: shared.settings.host.to_string(),
             wanted: wanted.iter().map(message).collect(),
@@ -313,7 +321,11 @@
     // cut off as well.
     let rotation = usize::try_from(shared.clock.now().as_micros()).unwrap_or_default();
     let peer = others.get(rotation % others.len().max(1))?;
-    let channel = channel_to(peer.peers, RENEW_TIMEOUT);
+    let channel = channel_to(
+        peer.peers,
+        RENEW_TIMEOUT,
+        shared.metrics.traffic.of(Kind::Peers),
+    );
     let message = plan::Lease { id: lease.0 };
     match client_on(channel).renew(message).await {
         Ok(renewed) => {
@@ -392,7 +404,7 @@
     if holder.host == shared.settings.host {
         return orders::place(shared.clone(), model.clone(), adapter.cloned()).await;
     }
-    let channel = link.channel(holder.peers);
+    let channel = link.channel(holder.peers, shared.metrics.traffic.of(Kind::Peers));
     let message = plan::Place {
         model: model.to_string(),
         adapter: adapter.map(ToString::to_string).unwrap_or_default(),
--- a/crates/edge/src/quota.rs
+++ b/crates/edge/src/quota.rs
@@ -1,7 +1,10 @@
 //! Limits the bytes that are read from a connection between hosts in a span of time. A limit on
 //! messages alone does not cover frames that belong to no message.
 
-use crate::socket::SocketPlace;
+use crate::{
+    socket::SocketPlace,
+    traffic::{Counted, Tally},
+};
 use std::{
     io,
     pin::Pin,
@@ -60,7 +63,7 @@
 
 /// A connection that fails once more is read from it than its quota allows.
 pub struct Limited {
-    stream: TcpStream,
+    stream: Counted<TcpStream>,
     bucket: Bucket,
     opened_at: Instant,
     /// Given back when the connection is closed.
@@ -68,10 +71,10 @@
 }
 
 impl Limited {
-    /// Limits a connection.
-    pub fn new(stream: TcpStream, quota: Quota) -> Self {
+    /// Limits a connection, whose bytes are counted.
+    pub fn new(stream: TcpStream, quota: Quota, tally: Tally) -> Self {
         Self {
-            stream,
+            stream: Counted::new(stream, tally),
             bucket: Bucket::new(quota),
             opened_at: Instant::now(),
             place: None,
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -2,10 +2,13 @@
 
 use crate::{
     bounds,
-    client::{Client, Fault, Remote},
+    client::{Client, Fault, HeadAt, Remote},
     clock::Clock,
+    journal::journal,
     metrics::Metrics,
+    traffic::Kind,
 };
+use bytes::Bytes;
 use mulberryrack_core::{
     Time,
     kv::{self, Era, Reply, Revision},
@@ -17,6 +20,10 @@
 /// Longest wait for an answer. A healthy key-value service answers in milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for the head of an answer, beyond the wait of a watch, or for the body after it, from which on a
+/// call is logged.
+const NOTABLE_TIME: Duration = Duration::from_millis(100);
+
 /// The client of the key-value service.
 pub struct Store<D> {
     dialect: Rc<D>,
@@ -143,6 +150,7 @@
             _ => Duration::ZERO,
         };
         let request = self.dialect.store_call(op);
+        let begun = Instant::now();
         let answer = self
             .client
             .call(
@@ -150,8 +158,10 @@
                 request,
                 bounds::MAX_STORE_ANSWER_BYTES,
                 CALL_TIMEOUT + wait,
+                self.metrics.traffic.of(kind(op)),
             )
             .await;
+        log_slow(op, begun, answer.as_ref());
         let outcome = match answer {
             Ok(answer) => self.read(op, &answer, rises),
             Err(Fault::NotSent) => Err(kv::Fault::NotApplied),
@@ -197,6 +207,37 @@
     }
 }
 
+/// What the bytes of a call are for.
+const fn kind(op: &kv::Op) -> Kind {
+    match op {
+        kv::Op::List { .. } => Kind::List,
+        kv::Op::Watch { .. } => Kind::Watch,
+        _ => Kind::Store,
+    }
+}
+
+/// Logs a call that took long: whether until the head of its answer, which includes the service's own
+/// time, or from then on, which is the time that the bytes took.
+fn log_slow(op: &kv::Op, begun: Instant, answer: Result<&http::Response<Bytes>, &Fault>) {
+    let Ok(answer) = answer else {
+        return;
+    };
+    let head_at = answer.extensions().get::<HeadAt>();
+    let head_at = head_at.map_or_else(Instant::now, |it| it.0);
+    let (head, body) = (head_at - begun, head_at.elapsed());
+    let is_watch = matches!(op, kv::Op::Watch { .. });
+    if body >= NOTABLE_TIME || (head >= NOTABLE_TIME && !is_watch) {
+        journal!(
+            info,
+            "store-slow",
+            op = op.label(),
+            head_ms = head.as_millis(),
+            body_ms = body.as_millis(),
+            bytes = answer.body().len(),
+        );
+    }
+}
+
 /// Whether an operation goes on from a position that an earlier one told.
 const fn continues(op: &kv::Op) -> bool {
     matches!(op, kv::Op::Watch { .. } | kv::Op::List { .. })
--- a/crates/edge/src/succession.rs
+++ b/crates/edge/src/succession.rs
@@ -1,7 +1,12 @@
 //! Keeps the record of this host's claim in the key-value service, and tells the hosts that could
 //! extend the previous holder's claim of the newer one.
 
-use crate::{journal::journal, lease_extension, peers, shared::Shared};
+use crate::{
+    journal::journal,
+    lease_extension, peers,
+    shared::Shared,
+    traffic::{Kind, Tally},
+};
 use bytes::Bytes;
 use mulberryrack_core::{
     Name,
@@ -179,7 +184,8 @@
             channels.clear();
             continue;
         };
-        let Some(host) = first_answer(fence, processes, &mut channels).await else {
+        let tally = shared.metrics.traffic.of(Kind::Peers);
+        let Some(host) = first_answer(fence, processes, &mut channels, tally).await else {
             continue;
         };
         let mut claim = shared.claim.borrow_mut();
@@ -198,10 +204,11 @@
     fence: Fence,
     processes: Vec<Process>,
     channels: &mut BTreeMap<Name, Channel>,
+    tally: &Tally,
 ) -> Option<Name> {
     let mut questions = JoinSet::new();
     for process in processes {
-        let connect = || peers::channel_to(process.peers, lease_extension::ANSWER_TIMEOUT);
+        let connect = || peers::channel_to(process.peers, lease_extension::ANSWER_TIMEOUT, tally);
         let channel = channels.entry(process.host.clone()).or_insert_with(connect);
         let channel = channel.clone();
         questions.spawn(async move {
