Edge: changes are followed while the further pages of a listing are read

Callers got 404 for routes that had been added, and requests reached services and upstreams of an older state: a host that lists all keys learned of no change until the last page was read, and a page that did not arrive within 1.2 s threw away all pages before it. At 300 hosts and 3,000 upstreams a listing has 8 pages of some 0.5 MB; all hosts begin one at once after they were killed.

A watch begins at the revision of the first page, and further pages are read beside it, by a task that asks again for the page that failed and pauses after each page for as long as that took. A host serves once it has a configuration and its first page; a claim whose host was not listed yet is not abandoned.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -8,7 +8,9 @@
     holdings::{Holdings, Places},
     journal::journal,
     lateness::{self, Lateness},
-    lease_extension, membership,
+    lease_extension,
+    listing::Listing,
+    membership,
     metrics::Metrics,
     notices, orders,
     peers::{self, PlannerLink},
@@ -99,6 +101,7 @@
     let incarnation = rand::random();
     Rc::new(Shared {
         store: Store::new(dialect.clone(), settings.kv_address, metrics.clone(), clock),
+        listing: Listing::default(),
         dialect,
         clock,
         freshness: freshness::ConfigFreshness::new(bounds.revocation_delay),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,8 +14,8 @@
 //! - Bytes without end: `bounds` has what is read of any peer at most, `meter` counts it.
 //! - Memory and places for callers: `holdings` keeps the account of the package `room`.
 //!   `unread` knows for how long an upstream was not read.
-//! - Key-value service: `store` makes the calls, `watch` follows the configuration and the
-//!   registrations, `membership` writes this host's own keys.
+//! - Key-value service: `store` makes the calls, `listing` reads all keys, `watch` follows the configuration
+//!   and the registrations, `membership` writes this host's own keys.
 //! - Keys of organisations: `freshness` knows whether the configuration is provably current.
 //! - Engines: `orders` sends the planner's orders while this host holds the claim to give
 //!   orders; `lease_extension` extends the claim during an outage of the key-value service, and
@@ -60,6 +60,7 @@
 mod lease_extension;
 mod limit_metrics;
 mod link;
+mod listing;
 mod membership;
 mod meter;
 mod metrics;
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -58,6 +58,11 @@
         shared: &Shared<D>,
         holder: Option<&(Registration, Fence)>,
     ) -> Option<Fence> {
+        // Hosts that were not listed yet are not known to be gone.
+        if shared.listing.is_open() {
+            self.unheld = None;
+            return None;
+        }
         let hosts = shared.hosts.borrow();
         let holds_none = shared.claim.borrow().fence().is_none();
         let unheld = holder.filter(|(registration, _)| {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -3,8 +3,8 @@
 
 use crate::{
     client::Client, clock::Clock, eras::Unconfirmed, freshness::ConfigFreshness,
-    holdings::Holdings, lateness::Lateness, metrics::Metrics, permits::Asked, proofs::Proofs,
-    registration::Registration, store::Store, usage::Usage,
+    holdings::Holdings, lateness::Lateness, listing::Listing, metrics::Metrics, permits::Asked,
+    proofs::Proofs, registration::Registration, store::Store, usage::Usage,
 };
 use mulberryrack_core::{
     Name, Time,
@@ -53,6 +53,8 @@
     pub clock: Clock,
     pub client: Rc<Client>,
     pub store: Store<D>,
+    /// The listing of all keys that is under way.
+    pub listing: Listing,
     pub metrics: Rc<Metrics>,
     /// Whether the configuration in force is provably current.
     pub freshness: ConfigFreshness,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -6,7 +6,7 @@
     eras::{self, FIRST_ERA_KEY},
     freshness::CallStart,
     journal::journal,
-    lateness, refusals,
+    lateness, listing, refusals,
     registration::{CLAIM_KEY, HOST_KEY_PREFIX, Registration},
     shared::{Phase, Shared},
     usage,
@@ -17,7 +17,7 @@
 };
 use mulberryrack_fleet::Fence;
 use mulberryrack_site::{Dialect, upstream::State};
-use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
 
 /// Time after which the key-value service answers a watch without changes, as a share of the
@@ -29,7 +29,8 @@
 /// allowed time is for the next call and its retry.
 const BATCH_DELAY_SHARE: f64 = 0.35;
 /// Turns of the thread that changes wait for after the delay: for its end, and for the answer to the
-/// watch. The delay is shorter by these: together they have to keep the allowed reaction delay.
+/// watch. The delay is shorter by these, and by the time that the bytes of answers take: together they have
+/// to keep the allowed reaction delay.
 const TURNS_TO_APPLY: u32 = 2;
 /// Shortest delay of a thread that is late, as a share of the longest allowed reaction delay: without
 /// one, it would be later for the calls.
@@ -43,7 +44,7 @@
 /// Longest delay between two tries where strict revocation is set. With
 /// [`STRICT_RETRY_TIMEOUT`], keyed requests are served again within a second of an outage's end.
 const STRICT_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Longest wait for the answer to a watch after a failed call, or after a watch that was ended, where
+/// Longest wait for the beginning of the answer to a watch after a failed call, or after a watch that was ended, where
 /// strict revocation is set.
 const STRICT_RETRY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after the first of several failed calls; it doubles with each further one.
@@ -51,8 +52,6 @@
 /// Longest delay between two tries. It is short so that the end of an outage is noticed
 /// soon.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
-/// Largest number of entries asked for with one list call.
-const PAGE_LIMIT: u32 = 500;
 
 /// Follows the service until the process ends.
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
@@ -64,7 +63,6 @@
         .map_or(MAX_RETRY_DELAY, |_| STRICT_RETRY_DELAY);
     let mut has_failed = false;
     let mut rises_followed = 0;
-    let mut rises_read = 0;
     loop {
         if rises_followed != shared.store.rises() {
             rises_followed = shared.store.rises();
@@ -74,18 +72,16 @@
             continue;
         }
         shared.proofs.record_position(position, rises_followed);
-        let era_changed = shared.store.era_changed.notified();
-        let recovered = shared.store.recovered.notified();
-        let result = async {
+        let step = async {
             match position {
-                None => read_all(&shared, rises_read != rises_followed).await,
+                None => listing::begin(&shared).await,
                 Some(after) => watch_once(&shared, after, has_failed).await,
             }
         };
         let result = tokio::select! {
-            result = result => result,
-            () = era_changed => continue,
-            () = recovered => {
+            result = step => result,
+            () = shared.store.era_changed.notified() => continue,
+            () = shared.store.recovered.notified() => {
                 journal!(info, "watch-again", after = position.map_or(0, |it| it.0));
                 continue;
             }
@@ -97,7 +93,6 @@
                 }
                 retry_delay = MIN_RETRY_DELAY;
                 has_failed = false;
-                rises_read = rises_followed;
                 position = Some(revision);
             }
             Err(Fault::HistoryGone) => {
@@ -121,115 +116,6 @@
     }
 }
 
-/// Lists all keys, applies them, and removes what no longer exists; in a new era only once it
-/// had the time to be written again. Returns the revision from which a watch must continue.
-async fn read_all<D: Dialect>(shared: &Rc<Shared<D>>, is_new_era: bool) -> Result<Revision, Fault> {
-    let begun = Instant::now();
-    let start = CallStart::now();
-    let mut pages = 0;
-    let mut after: Option<Arc<str>> = None;
-    let mut start_revision: Option<Revision> = None;
-    // Of all pages, as the configuration may be on any of them.
-    let mut lowest: Option<(Option<Era>, Revision)> = None;
-    let mut seen = BTreeSet::new();
-    loop {
-        let op = Op::List {
-            prefix: "".into(),
-            after: after.clone(),
-            limit: PAGE_LIMIT,
-        };
-        let reply = shared.store.call(&op).await.inspect_err(|fault| {
-            let took_ms = begun.elapsed().as_millis();
-            let fault = format_args!("{fault:?}");
-            journal!(
-                warn,
-                "store-not-read",
-                pages = pages,
-                took_ms = took_ms,
-                fault = fault
-            );
-        })?;
-        pages += 1;
-        let Reply::Entries {
-            entries,
-            more,
-            revision,
-        } = reply
-        else {
-            return Err(Fault::Unknown);
-        };
-        // The pages together are no snapshot, so the watch continues from the revision of
-        // the first page.
-        let first_revision = *start_revision.get_or_insert(revision);
-        let position = (shared.store.read_era(), revision);
-        lowest = Some(lowest.map_or(position, |lowest| lowest.min(position)));
-        after = entries.last().map(|entry| entry.key.clone());
-        for entry in &entries {
-            seen.insert(entry.key.clone());
-            apply_entry(shared, entry);
-        }
-        if !more || after.is_none() {
-            remove_unlisted(shared, &seen, is_new_era);
-            update_upstream_count(shared);
-            if let Some((era, revision)) = lowest {
-                record_answer(shared, start, era, revision);
-            }
-            shared.changed.notify_waiters();
-            journal!(
-                info,
-                "store-read",
-                keys = seen.len(),
-                pages = pages,
-                revision = first_revision.0,
-                took_ms = begun.elapsed().as_millis(),
-            );
-            return Ok(first_revision);
-        }
-    }
-}
-
-/// Removes the upstreams, hosts and claim whose keys are not in `seen`.
-fn remove_unlisted<D: Dialect>(
-    shared: &Rc<Shared<D>>,
-    seen: &BTreeSet<Arc<str>>,
-    is_new_era: bool,
-) {
-    let registered: Vec<Name> = {
-        let gate = shared.gate.borrow();
-        gate.registered().map(|entry| entry.id.clone()).collect()
-    };
-    let listed: BTreeSet<Name> = seen
-        .iter()
-        .filter_map(|key| shared.dialect.upstream_of_key(key))
-        .collect();
-    let registered = registered.into_iter();
-    let upstreams: Vec<Name> = registered.filter(|id| !listed.contains(id)).collect();
-    let is_listed = |name: &Name| seen.contains(format!("{HOST_KEY_PREFIX}{name}").as_str());
-    let hosts: Vec<Name> = {
-        let hosts = shared.hosts.borrow();
-        let names = hosts.keys().filter(|name| !is_listed(name));
-        names.cloned().collect()
-    };
-    let claim_is_gone = !seen.contains(CLAIM_KEY);
-    refusals::retain_keys(shared, |key| seen.contains(key));
-    if is_new_era {
-        eras::keep_unlisted(shared, upstreams, hosts, claim_is_gone);
-        return;
-    }
-    if !seen.contains(shared.dialect.config_key()) {
-        shared.freshness.record_configuration(false);
-    }
-    for id in &upstreams {
-        deregister_upstream(shared, id, "list");
-    }
-    for name in &hosts {
-        remove_host(shared, name);
-    }
-    if claim_is_gone {
-        shared.set_holder(None);
-    }
-}
-
 /// Waits for changes after a revision and applies them. Returns the revision from which the
 /// next watch must continue.
 async fn watch_once<D: Dialect>(
@@ -282,6 +168,7 @@
     else {
         return Err(Fault::Unknown);
     };
+    let (entries, deleted) = listing::merge(shared, entries, deleted, revision);
     for entry in &entries {
         apply_entry(shared, entry);
     }
@@ -345,7 +232,8 @@
     }
 }
 
-fn apply_entry<D: Dialect>(shared: &Shared<D>, entry: &Entry) {
+/// Applies a key that exists.
+pub fn apply_entry<D: Dialect>(shared: &Shared<D>, entry: &Entry) {
     if &*entry.key == shared.dialect.config_key() {
         adopt_config(shared, entry);
     } else if let Some(id) = shared.dialect.upstream_of_key(&entry.key) {
@@ -409,7 +297,13 @@
         routes = config.routes.len(),
         services = config.services.len(),
     );
-    if shared.phase.get() == Phase::Starting {
+    serve_if_known(shared);
+}
+
+/// Begins to serve once there is a configuration, and a part of the upstreams has been read.
+pub fn serve_if_known<D>(shared: &Shared<D>) {
+    let is_known = shared.listing.has_begun() && shared.gate.borrow().config().is_some();
+    if is_known && shared.phase.get() == Phase::Starting {
         shared.set_phase(Phase::Serving);
     }
 }
@@ -475,7 +369,8 @@
     update_host_count(shared);
 }
 
-fn update_upstream_count<D>(shared: &Shared<D>) {
+/// Updates the metric of registered upstreams.
+pub fn update_upstream_count<D>(shared: &Shared<D>) {
     let registered = shared.gate.borrow().registered().count();
     shared
         .metrics
