Edge: a call to the key-value service lasts as long as its answer arrives

The answer to a watch of all keys has every upstream that changed. If its bytes took more than 1.2 s beyond the wait, it was thrown away and asked for again from the same revision, as a still larger answer. With strict revocation it was worse: a watch was ended for one with 0.5 s for the whole answer as soon as other hosts knew a newer revision, or as a renewal was answered after one that was not, although its answer was arriving. At 300 hosts all hosts wait for the link of the service, so that none of them got on, and all of them read the same bytes again.

Silence is now the time without any more bytes; a whole answer may take 12 s, less than the service keeps its history. A watch whose answer is arriving is not made anew. Further changes gather for less by the time that bytes take.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -62,10 +62,6 @@
     pub name: Name,
 }
 
-/// When the head of an answer had been read; an extension of the answers of [`Client::call`].
-#[derive(Clone, Copy, Debug)]
-pub struct HeadAt(pub Instant);
-
 /// All places for connections are taken.
 struct NoSocket;
 
@@ -161,6 +157,21 @@
         }
     }
 
+    /// Sends a request that names the address as its host, and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::send`].
+    pub async fn ask(
+        &mut self,
+        mut request: Request<Bytes>,
+    ) -> Result<(response::Parts, Incoming), Fault> {
+        let host = self.remote.address.to_string();
+        let value = HeaderValue::from_str(&host).expect("an address is plain text");
+        request.headers_mut().insert(header::HOST, value);
+        self.send(request).await
+    }
+
     /// Sends a request and reads the whole answer, with a body of up to `max_bytes`. The
     /// connection then returns to the pool, unless the answer is a refusal.
     ///
@@ -170,21 +181,22 @@
     /// nothing.
     pub async fn round_trip(
         mut self,
-        mut request: Request<Bytes>,
+        request: Request<Bytes>,
         max_bytes: usize,
         tally: &Tally,
     ) -> Result<Response<Bytes>, Fault> {
         self.count_in(tally);
-        let host = self.remote.address.to_string();
-        let value = HeaderValue::from_str(&host).expect("an address is plain text");
-        request.headers_mut().insert(header::HOST, value);
-        let (mut head, body) = self.send(request).await?;
-        head.extensions.insert(HeadAt(Instant::now()));
+        let (head, body) = self.ask(request).await?;
         let body = self.read_body(body, max_bytes).await?;
+        Ok(self.end(head, body))
+    }
+
+    /// Ends a call whose answer was read to its end.
+    pub fn end(self, head: response::Parts, body: Bytes) -> Response<Bytes> {
         if !is_refusal(head.status) {
             self.return_to_pool(None);
         }
-        Ok(Response::from_parts(head, body))
+        Response::from_parts(head, body)
     }
 }
 
@@ -195,20 +207,46 @@
     ///
     /// [`Fault::Excessive`] if the remote side sends more, [`Fault::Broken`] if the connection
     /// ends before.
-    pub async fn read_body(
+    pub async fn read_body(&mut self, body: Incoming, max_bytes: usize) -> Result<Bytes, Fault> {
+        self.collect(body, max_bytes, None).await
+    }
+
+    /// As [`Connection::read_body`], for as long as more of the body arrives within `silence`.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Connection::read_body`], and [`Fault::Silent`] if nothing more arrives.
+    pub async fn read_body_while_it_arrives(
+        &mut self,
+        body: Incoming,
+        max_bytes: usize,
+        silence: Duration,
+    ) -> Result<Bytes, Fault> {
+        self.collect(body, max_bytes, Some(silence)).await
+    }
+
+    async fn collect(
         &mut self,
         mut body: Incoming,
         max_bytes: usize,
+        silence: Option<Duration>,
     ) -> Result<Bytes, Fault> {
         self.link.meter.allow(bounds::body_allowance(max_bytes));
         let mut collector = Collector::new(max_bytes);
-        while let Some(frame) = self.frame(&mut body).await {
+        loop {
+            let frame = self.frame(&mut body);
+            let frame = match silence {
+                Some(silence) => lateness::timeout(silence, frame).await,
+                None => Ok(frame.await),
+            };
+            let Some(frame) = frame.map_err(|_| Fault::Silent)? else {
+                return Ok(collector.finish());
+            };
             let frame = frame.map_err(|_| self.fault())?;
             if let Some(piece) = frame.data_ref() {
                 collector.push(piece).map_err(|_| Fault::Excessive)?;
             }
         }
-        Ok(collector.finish())
     }
 
     /// Reads the next part of the body of an answer; `None` at its end.
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -2,26 +2,34 @@
 
 use crate::{
     bounds,
-    client::{Client, Fault, HeadAt, Remote},
+    client::{Client, Fault, Remote},
     clock::Clock,
     journal::journal,
+    lateness,
     metrics::Metrics,
     traffic::Kind,
 };
 use bytes::Bytes;
+use http::Response;
 use mulberryrack_core::{
     Time,
     kv::{self, Era, Reply, Revision},
 };
 use mulberryrack_site::Dialect;
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::{sync::Notify, time::Instant};
+use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
 
-/// Longest wait for an answer. A healthy key-value service answers in milliseconds.
+/// Longest wait for an answer to begin, and then for more of it. A healthy key-value service answers in
+/// milliseconds; how long the bytes of a large answer take depends on the links.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest time for the bytes of an answer to arrive: less than that for which the service keeps its history.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Time for the head of an answer, beyond the wait of a watch, or for the body after it, from which on a
-/// call is logged.
+/// Time for the head of an answer, or for the bytes after it, from which on a call is logged, and for the
+/// bytes of a listing or a watch of all keys from which on the host is behind.
 const NOTABLE_TIME: Duration = Duration::from_millis(100);
 
 /// The client of the key-value service.
@@ -45,6 +53,12 @@
     last_write: Cell<(Option<Era>, Revision)>,
     /// The era that the last usable answer to a watch or a listing named.
     read_era: Cell<Option<Era>>,
+    /// Since when the bytes of an answer to a listing or a watch of all keys arrive.
+    receiving_since: Cell<Option<Instant>>,
+    /// How long the bytes of the last such answer took.
+    last_transfer: Cell<Duration>,
+    /// Notified when such an answer has been arriving for [`NOTABLE_TIME`].
+    pub transfer_is_long: Notify,
     /// Whether the last call other than a watch or a listing had no usable answer.
     unanswered: Cell<bool>,
     /// Notified when such a call has a usable answer after one that had none. The service may have
@@ -71,6 +85,9 @@
             era_changed: Notify::new(),
             last_write: Cell::default(),
             read_era: Cell::default(),
+            receiving_since: Cell::default(),
+            last_transfer: Cell::default(),
+            transfer_is_long: Notify::new(),
             unanswered: Cell::new(false),
             recovered: Notify::new(),
         }
@@ -137,6 +154,23 @@
             .map(|last_answer| last_answer.elapsed())
     }
 
+    /// Whether an answer to a listing or a watch of all keys is arriving: its call is not silent.
+    pub const fn is_receiving(&self) -> bool {
+        self.receiving_since.get().is_some()
+    }
+
+    /// How long the bytes of an answer to a listing or a watch of all keys take at the moment.
+    pub fn transfer_time(&self) -> Duration {
+        let current = self.receiving_since.get();
+        let current = current.map_or(Duration::ZERO, |since| since.elapsed());
+        current.max(self.last_transfer.get())
+    }
+
+    /// Whether changes may wait behind the bytes of others.
+    pub fn is_behind(&self) -> bool {
+        self.transfer_time() >= NOTABLE_TIME
+    }
+
     /// Makes a call. A watch gets its own wait in addition to [`CALL_TIMEOUT`]. A usable answer
     /// belongs to the era that [`Store::era`] names when this returns.
     ///
@@ -144,24 +178,21 @@
     ///
     /// Why there is no usable answer, and whether the operation may have taken effect.
     pub async fn call(&self, op: &kv::Op) -> kv::Outcome {
+        self.call_within(op, CALL_TIMEOUT).await
+    }
+
+    /// As [`Store::call`], with another wait for the beginning of the answer than [`CALL_TIMEOUT`].
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Store::call`].
+    pub async fn call_within(&self, op: &kv::Op, patience: Duration) -> kv::Outcome {
         let rises = self.rises.get();
         let wait = match op {
             kv::Op::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
-        let request = self.dialect.store_call(op);
-        let begun = Instant::now();
-        let answer = self
-            .client
-            .call(
-                self.remote.clone(),
-                request,
-                bounds::MAX_STORE_ANSWER_BYTES,
-                CALL_TIMEOUT + wait,
-                self.metrics.traffic.of(kind(op)),
-            )
-            .await;
-        log_slow(op, begun, answer.as_ref());
+        let answer = self.exchange(op, patience + wait).await;
         let outcome = match answer {
             Ok(answer) => self.read(op, &answer, rises),
             Err(Fault::NotSent) => Err(kv::Fault::NotApplied),
@@ -184,8 +215,38 @@
         outcome
     }
 
+    /// Makes a call, and reads its answer as long as it arrives.
+    async fn exchange(&self, op: &kv::Op, patience: Duration) -> Result<Response<Bytes>, Fault> {
+        let begun = Instant::now();
+        let request = self.dialect.store_call(op);
+        let head = async {
+            let mut connection = self.client.connect(self.remote.clone(), false).await?;
+            connection.count_in(self.metrics.traffic.of(kind(op)));
+            let (head, body) = connection.ask(request).await?;
+            Ok((connection, head, body))
+        };
+        let head = lateness::timeout(patience, head).await;
+        let (mut connection, head, body) = head.unwrap_or(Err(Fault::Silent))?;
+        let head_at = Instant::now();
+        let receiving = reads_all(op).then(|| Receiving::begin(self));
+        let body = connection.read_body_while_it_arrives(
+            body,
+            bounds::MAX_STORE_ANSWER_BYTES,
+            CALL_TIMEOUT,
+        );
+        let body = lateness::timeout(TRANSFER_TIMEOUT, body);
+        let body = match &receiving {
+            Some(receiving) => receiving.report_when_long(body).await,
+            None => body.await,
+        };
+        let body = body.unwrap_or(Err(Fault::Silent))?;
+        drop(receiving);
+        log_slow(op, head_at - begun, head_at.elapsed(), body.len());
+        Ok(connection.end(head, body))
+    }
+
     /// Parses an answer to a call that was made after the era had risen `rises` times.
-    fn read(&self, op: &kv::Op, answer: &http::Response<bytes::Bytes>, rises: u32) -> kv::Outcome {
+    fn read(&self, op: &kv::Op, answer: &Response<Bytes>, rises: u32) -> kv::Outcome {
         let era = self.dialect.store_era(answer);
         if era.is_some_and(|era| !self.follow_era(era)) {
             // What the call did may be gone.
@@ -216,15 +277,19 @@
     }
 }
 
+/// Whether a call reads whatever changes, so that a change may wait behind others in its answer. Beside the
+/// further pages of a listing, changes are followed.
+fn reads_all(op: &kv::Op) -> bool {
+    match op {
+        kv::Op::List { prefix, after, .. } => prefix.is_empty() && after.is_none(),
+        kv::Op::Watch { prefix, .. } => prefix.is_empty(),
+        _ => false,
+    }
+}
+
 /// Logs a call that took long: whether until the head of its answer, which includes the service's own
 /// time, or from then on, which is the time that the bytes took.
-fn log_slow(op: &kv::Op, begun: Instant, answer: Result<&http::Response<Bytes>, &Fault>) {
-    let Ok(answer) = answer else {
-        return;
-    };
-    let head_at = answer.extensions().get::<HeadAt>();
-    let head_at = head_at.map_or_else(Instant::now, |it| it.0);
-    let (head, body) = (head_at - begun, head_at.elapsed());
+fn log_slow(op: &kv::Op, head: Duration, body: Duration, bytes: usize) {
     let is_watch = matches!(op, kv::Op::Watch { .. });
     if body >= NOTABLE_TIME || (head >= NOTABLE_TIME && !is_watch) {
         journal!(
@@ -233,11 +298,44 @@
             op = op.label(),
             head_ms = head.as_millis(),
             body_ms = body.as_millis(),
-            bytes = answer.body().len(),
+            bytes = bytes,
         );
     }
 }
 
+/// The bytes of an answer are arriving, until this is dropped.
+struct Receiving<'a, D> {
+    store: &'a Store<D>,
+    since: Instant,
+}
+
+impl<'a, D> Receiving<'a, D> {
+    fn begin(store: &'a Store<D>) -> Self {
+        let since = Instant::now();
+        store.receiving_since.set(Some(since));
+        Self { store, since }
+    }
+
+    /// Waits for the end, and notifies those that need not wait for it.
+    async fn report_when_long<F: Future>(&self, end: F) -> F::Output {
+        let mut end = pin!(end);
+        tokio::select! {
+            biased;
+            output = end.as_mut() => return output,
+            () = time::sleep(NOTABLE_TIME) => {}
+        }
+        self.store.transfer_is_long.notify_waiters();
+        end.await
+    }
+}
+
+impl<D> Drop for Receiving<'_, D> {
+    fn drop(&mut self) {
+        self.store.receiving_since.set(None);
+        self.store.last_transfer.set(self.since.elapsed());
+    }
+}
+
 /// Whether an operation goes on from a position that an earlier one told.
 const fn continues(op: &kv::Op) -> bool {
     matches!(op, kv::Op::Watch { .. } | kv::Op::List { .. })
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -6,9 +6,10 @@
     eras::{self, FIRST_ERA_KEY},
     freshness::CallStart,
     journal::journal,
-    lateness, listing, refusals,
+    listing, refusals,
     registration::{CLAIM_KEY, HOST_KEY_PREFIX, Registration},
     shared::{Phase, Shared},
+    store::Store,
     usage,
 };
 use mulberryrack_core::{
@@ -81,7 +82,7 @@
         let result = tokio::select! {
             result = step => result,
             () = shared.store.era_changed.notified() => continue,
-            () = shared.store.recovered.notified() => {
+            () = forgotten(&shared.store) => {
                 journal!(info, "watch-again", after = position.map_or(0, |it| it.0));
                 continue;
             }
@@ -116,6 +117,17 @@
     }
 }
 
+/// Returns once the service may have forgotten an open call: it answers again, and nothing of this call's
+/// answer arrives.
+async fn forgotten<D: Dialect>(store: &Store<D>) {
+    loop {
+        store.recovered.notified().await;
+        if !store.is_receiving() {
+            return;
+        }
+    }
+}
+
 /// Waits for changes after a revision and applies them. Returns the revision from which the
 /// next watch must continue.
 async fn watch_once<D: Dialect>(
@@ -143,7 +155,7 @@
         let open = shared.proofs.begin_watch();
         let outcome = tokio::select! {
             outcome = shared.store.call(&op) => Some(outcome),
-            () = shared.proofs.catch_up.notified() => None,
+            () = must_catch_up(shared) => None,
         };
         drop(open);
         if let Some(outcome) = outcome {
@@ -181,7 +193,7 @@
         shared.changed.notify_waiters();
         let rises = shared.store.rises();
         shared.proofs.record_position(Some(revision), rises);
-        let late = shared.lateness.current() * TURNS_TO_APPLY;
+        let late = shared.lateness.current() * TURNS_TO_APPLY + shared.store.transfer_time();
         let delay = max_delay.mul_f64(BATCH_DELAY_SHARE).saturating_sub(late);
         let delay = delay.max(max_delay.mul_f64(MIN_BATCH_DELAY_SHARE));
         let delay = delay.min(max_wait);
@@ -204,8 +216,18 @@
 /// Asks for the changes after a revision, without waiting for any.
 async fn call_now<D: Dialect>(shared: &Shared<D>, after: Revision) -> Outcome {
     let op = watch_op(after, Duration::ZERO);
-    let limited = lateness::timeout(STRICT_RETRY_TIMEOUT, shared.store.call(&op)).await;
-    limited.unwrap_or(Err(Fault::Unknown))
+    shared.store.call_within(&op, STRICT_RETRY_TIMEOUT).await
+}
+
+/// Returns once the open watch has to be made anew, as it does not bring changes that other hosts know.
+async fn must_catch_up<D: Dialect>(shared: &Shared<D>) {
+    loop {
+        shared.proofs.catch_up.notified().await;
+        // What has begun to arrive are these changes, or will be followed by them.
+        if !shared.store.is_receiving() {
+            return;
+        }
+    }
 }
 
 /// Records what this host knows of the service from other calls than its lists and watches: the era
