Edge: the configuration is followed apart while other changes take long

A change of the configuration comes with everything else that has changed, and was in force only when the whole answer was read: seconds, if thousands of upstreams register at once. Calls for a proof that it is current read all changes once more, and threw them away.

While the bytes of a listing or a watch of all keys take 100 ms or more, the host follows the key of the configuration alone on a connection of its own. In quiet times no call is added. Calls for proofs ask for that key only.

--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     sync::{
         Arc, Condvar, Mutex, RwLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -70,6 +70,8 @@
     pub tells_no_era: Arc<AtomicBool>,
     /// Calls with this text in path or body are answered with a delay after they are executed.
     pub late: Arc<Mutex<Option<(&'static str, Duration)>>>,
+    /// Largest number of items in an answer to a listing; 0 for all.
+    pub page: Arc<AtomicUsize>,
     /// Held for reading by a call while it is executed, so that it belongs to one era.
     executing: Arc<RwLock<()>>,
 }
@@ -105,6 +107,7 @@
             silent: Arc::default(),
             tells_no_era: Arc::default(),
             late: Arc::default(),
+            page: Arc::default(),
             executing,
         };
         let serving = store.clone();
@@ -283,7 +286,10 @@
     fn execute(&self, call: &str, query: &BTreeMap<&str, &str>, body: &str) -> (u16, Value) {
         let silent = self.silent.load(Ordering::Relaxed);
         match call.split('/').next() {
-            Some("kv-range") => (200, self.range(query["prefix"])),
+            Some("kv-range") => {
+                let after = query.get("after").copied().unwrap_or_default();
+                (200, self.range(query["prefix"], after))
+            }
             Some("kv-key") => self.key(query["key"]),
             Some("kv-txn") => self.transaction(&serde_json::from_str(body).expect("JSON")),
             Some("kv-lease") => {
@@ -317,14 +323,19 @@
         entry.map_or((404, json!({})), |entry| (200, item(key, entry)))
     }
 
-    fn range(&self, prefix: &str) -> Value {
+    fn range(&self, prefix: &str, after: &str) -> Value {
         let items = self.state.0.lock().expect("unpoisoned");
         let matching = items
             .entries
             .iter()
-            .filter(|(key, _)| key.starts_with(prefix));
-        let matching: Vec<Value> = matching.map(|(key, entry)| item(key, entry)).collect();
-        json!({ "items": matching, "has-more": false, "current-rev": items.revision })
+            .filter(|(key, _)| key.starts_with(prefix) && ***key > *after);
+        let mut matching: Vec<Value> = matching.map(|(key, entry)| item(key, entry)).collect();
+        let page = self.page.load(Ordering::Relaxed);
+        let has_more = page > 0 && matching.len() > page;
+        if has_more {
+            matching.truncate(page);
+        }
+        json!({ "items": matching, "has-more": has_more, "current-rev": items.revision })
     }
 
     fn watch(&self, query: &BTreeMap<&str, &str>) -> (u16, Value, u64) {
@@ -337,15 +348,19 @@
         if after > items.revision {
             return (410, json!({}), era);
         }
-        while items.revision <= after && items.era == era && Instant::now() < until {
+        let is_newer = |event: &&Value| {
+            let key = event["key"].as_str().expect("a key");
+            event["revision"].as_u64() > Some(after) && key.starts_with(query["prefix"])
+        };
+        let has_news = |items: &Items| items.history.iter().rev().any(|event| is_newer(&event));
+        while !has_news(&items) && items.era == era && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             items = changed.wait_timeout(items, left).expect("unpoisoned").0;
         }
         if items.era != era {
             return (410, json!({}), items.era);
         }
-        let newer = |event: &&Value| event["revision"].as_u64() > Some(after);
-        let events: Vec<Value> = items.history.iter().filter(newer).cloned().collect();
+        let events: Vec<Value> = items.history.iter().filter(is_newer).cloned().collect();
         let answer = json!({ "events": events, "current-rev": items.revision });
         (200, answer, era)
     }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -4,7 +4,7 @@
     caller,
     client::Client,
     clock::Clock,
-    endpoint, freshness,
+    config_watch, endpoint, freshness,
     holdings::{Holdings, Places},
     journal::journal,
     lateness::{self, Lateness},
@@ -207,6 +207,7 @@
     task::spawn_local(tokens::run(shared.clone()));
     task::spawn_local(usage::run(shared.clone()));
     task::spawn_local(watch::run(shared.clone()));
+    task::spawn_local(config_watch::run(shared.clone()));
     task::spawn_local(freshness::run(shared.clone()));
     task::spawn_local(proofs::run(shared.clone()));
     task::spawn_local(orders::run(shared.clone()));
--- a/crates/edge/src/proofs.rs
+++ b/crates/edge/src/proofs.rs
@@ -68,6 +68,11 @@
         self.hosts_changed.set(true);
     }
 
+    /// The revision up to which all changes have been applied; `None` until the next list.
+    pub const fn position(&self) -> Option<Revision> {
+        self.position.get().0
+    }
+
     /// Records the revision up to which changes have been applied, `None` if all are read anew,
     /// after the era has risen `rises` times.
     pub fn record_position(&self, position: Option<Revision>, rises: u32) {
@@ -140,12 +145,13 @@
     }
 }
 
-/// Calls the service for a proof. If it has changes, or does not answer, the watch is made anew.
+/// Calls the service for a proof. If the configuration has changed, or the service does not answer, the
+/// watch is made anew.
 async fn call<D: Dialect>(shared: Rc<Shared<D>>) {
     let (position, rises) = shared.proofs.position.get();
     if let Some(after) = position.filter(|_| rises == shared.store.rises()) {
         let op = Op::Watch {
-            prefix: "".into(),
+            prefix: shared.dialect.config_key().into(),
             after,
             wait: Duration::ZERO,
         };
@@ -161,8 +167,8 @@
                 if entries.is_empty() && deleted.is_empty() {
                     watch::record_answer(&shared, start, era, revision);
                 } else {
-                    // The changes are left to the open watch, which applies them in order. If they do
-                    // not arrive there, it is made anew, as the host is behind.
+                    // The change is left to the open watch, which applies changes in order. If it does
+                    // not arrive there, that is made anew, as the host is behind.
                     shared.freshness.record_revision(era, revision);
                 }
             }
