Edge: a configuration that is gone counts as gone where it is followed apart

The follower of the configuration passed over its removal, and its answer then counted as a proof that what is in force is the newest one: with strict revocation, keys of a removed configuration would have been honoured while other changes arrive slowly. Found on rereading; not shown by a test of its own.

--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -17,6 +17,8 @@
 
 /// Key of the configuration.
 const CONFIG_KEY: &str = "op/config";
+/// Small, so that most listings have several pages.
+const DEFAULT_PAGE: usize = 3;
 
 #[derive(Clone, Default)]
 struct Items {
@@ -70,7 +72,7 @@
     pub tells_no_era: Arc<AtomicBool>,
     /// Calls with this text in path or body are answered with a delay after they are executed.
     pub late: Arc<Mutex<Option<(&'static str, Duration)>>>,
-    /// Largest number of items in an answer to a listing; 0 for all.
+    /// Largest number of items in an answer to a listing.
     pub page: Arc<AtomicUsize>,
     /// Held for reading by a call while it is executed, so that it belongs to one era.
     executing: Arc<RwLock<()>>,
@@ -107,7 +109,7 @@
             silent: Arc::default(),
             tells_no_era: Arc::default(),
             late: Arc::default(),
-            page: Arc::default(),
+            page: Arc::new(AtomicUsize::new(DEFAULT_PAGE)),
             executing,
         };
         let serving = store.clone();
@@ -331,7 +333,7 @@
             .filter(|(key, _)| key.starts_with(prefix) && ***key > *after);
         let mut matching: Vec<Value> = matching.map(|(key, entry)| item(key, entry)).collect();
         let page = self.page.load(Ordering::Relaxed);
-        let has_more = page > 0 && matching.len() > page;
+        let has_more = matching.len() > page;
         if has_more {
             matching.truncate(page);
         }
--- a/crates/edge/src/config_watch.rs
+++ b/crates/edge/src/config_watch.rs
@@ -2,7 +2,7 @@
 //! not wait behind the registrations of upstreams and hosts.
 
 use crate::{freshness::CallStart, journal::journal, shared::Shared, watch};
-use mulberryrack_core::kv::{Entry, Fault, Op, Reply, Revision};
+use mulberryrack_core::kv::{Fault, Op, Reply, Revision};
 use mulberryrack_site::Dialect;
 use std::{rc::Rc, time::Duration};
 use tokio::time;
@@ -59,18 +59,23 @@
             limit: LIMIT,
         },
     };
-    let (entries, revision): (Vec<Entry>, Revision) = match shared.store.call(&op).await? {
+    let (entries, deleted, revision) = match shared.store.call(&op).await? {
         Reply::Entries {
             entries, revision, ..
-        }
-        | Reply::Changes {
-            entries, revision, ..
-        } => (entries, revision),
+        } => (entries, Vec::new(), revision),
+        Reply::Changes {
+            entries,
+            deleted,
+            revision,
+        } => (entries, deleted, revision),
         _ => return Err(Fault::Unknown),
     };
     for entry in &entries {
         watch::apply_entry(shared, entry);
     }
+    for key in &deleted {
+        watch::apply_deletion(shared, key);
+    }
     watch::record_answer(shared, start, shared.store.read_era(), revision);
     Ok(revision)
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -370,7 +370,8 @@
     journal!(info, "upstream-gone", id = id, told_by = told_by);
 }
 
-fn apply_deletion<D: Dialect>(shared: &Shared<D>, key: &str) {
+/// Applies that a key is gone.
+pub fn apply_deletion<D: Dialect>(shared: &Shared<D>, key: &str) {
     if let Some(id) = shared.dialect.upstream_of_key(key) {
         deregister_upstream(shared, &id, "watch");
     } else if key == shared.dialect.config_key() {
--- a/crates/replica/src/pace.rs
+++ b/crates/replica/src/pace.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-/// Longest pause between two pages. It bounds how long a listing takes: the changes since its first page
-/// have to be at hand at its end.
+/// Longest pause between two pages, so that a listing whose pages take long still comes to its end.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// Pause after a page that took so long. Whatever link is the narrow one, that of the host or that of the
