Edge: what waits for a full link is taken off the time-out of a request

The users' record has requests that were held 0.5 s and more past their route's time-out, each crossing of the host's link taking about 0.2 s. A host did not know of that time: the time-out counted from the read, and its answer had to cross the link after it.

The settings name the rate of the link (link_mbps, from the platform's limits). The new package uplink knows what crossed the link lately and how long short calls to the service took. While the link is full, what they take longer than usual is the delay there and back, and is taken off the time-out like the time before the read; while it is not, slow calls say that the service is slow.

--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -65,6 +65,9 @@
     /// Memory that the process may use, in megabytes; 0 sets no limit.
     #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
     memory_mb: u32,
+    /// Rate of the machine's link in each direction, in megabits a second; 0 if it is not known.
+    #[serde_as(as = "PickFirst<(_, DisplayFromStr)>")]
+    link_mbps: f64,
 }
 
 impl Default for Host {
@@ -81,6 +84,7 @@
             descriptors: 0,
             cores: 1.0,
             memory_mb: 0,
+            link_mbps: 0.0,
         }
     }
 }
@@ -219,6 +223,10 @@
     }
 }
 
+/// Highest rate of a link, in megabits a second; a faster one is as good as one of this rate.
+const MAX_LINK_MBPS: f64 = 30_000.0;
+/// Bytes a second in a megabit a second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Largest number of processor cores that a host may be said to have.
 const MAX_CORES: f64 = 4_096.0;
 
@@ -257,11 +265,17 @@
             "[host] cores = {cores} is not a number of processor cores"
         ));
     }
+    if !(host.link_mbps >= 0.0 && host.link_mbps.is_finite()) {
+        let rate = host.link_mbps;
+        problems.push(format!("[host] link_mbps = {rate} is not a rate"));
+    }
     if !problems.is_empty() {
         return Err(Error { problems });
     }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let millicores = (host.cores * 1_000.0).round() as u32;
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let link_bytes_per_s = (host.link_mbps.min(MAX_LINK_MBPS) * BYTES_PER_MEGABIT).round() as u32;
     let settings = Settings {
         host: host.name,
         data_centre: host.data_centre,
@@ -291,6 +305,7 @@
         millicores,
         max_sockets: host.descriptors,
         memory_mb: (host.memory_mb > 0).then_some(host.memory_mb),
+        link_bytes_per_s: (link_bytes_per_s > 0).then_some(link_bytes_per_s),
         balance_rule: balance.rule.into(),
         shares_speeds: balance.share_speeds,
     };
--- a/crates/daemon/tests/site/link.rs
+++ b/crates/daemon/tests/site/link.rs
@@ -1,4 +1,4 @@
-//! A loopback link with a rate and a queue in each direction, which all of its connections share.
+//! The link of a host, on loopback: a rate and a queue in each direction, which all connections share.
 
 use std::{
     io::{Read, Write},
@@ -44,43 +44,59 @@
     }
 }
 
-/// A link to `to`, reached at `address`.
+/// The link of a host.
+#[derive(Clone)]
 pub struct Link {
-    pub address: SocketAddr,
-    /// From whoever connects to the other side, and back.
-    directions: Arc<[Direction; 2]>,
+    inbound: Arc<Direction>,
+    outbound: Arc<Direction>,
 }
 
 impl Link {
-    pub fn open(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let directions = Arc::new([Direction::new(), Direction::new()]);
-        let shared = directions.clone();
-        thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                let Ok(far) = TcpStream::connect(to) else {
-                    continue;
-                };
-                for (index, from, to) in [(0, &near, &far), (1, &far, &near)] {
-                    let from = from.try_clone().expect("a descriptor");
-                    let to = to.try_clone().expect("a descriptor");
-                    let shared = shared.clone();
-                    thread::spawn(move || forward(from, to, &shared[index]));
-                }
-            }
-        });
+    pub fn new() -> Self {
         Self {
-            address,
-            directions,
+            inbound: Arc::new(Direction::new()),
+            outbound: Arc::new(Direction::new()),
         }
     }
 
-    /// Sets the rate of what comes back to whoever connects.
-    pub fn set_answers(&self, bytes_per_s: u64) {
-        let rate = &self.directions[1].bytes_per_s;
+    /// Sets the rate at which bytes reach the host.
+    pub fn set_inbound(&self, bytes_per_s: u64) {
+        let rate = &self.inbound.bytes_per_s;
         rate.store(bytes_per_s, Ordering::Relaxed);
     }
+
+    /// An address at which the host reaches a remote side.
+    pub fn outwards(&self, remote: SocketAddr) -> SocketAddr {
+        open(remote, [self.outbound.clone(), self.inbound.clone()])
+    }
+
+    /// An address at which callers reach an address of the host.
+    #[allow(dead_code)]
+    pub fn inwards(&self, host: SocketAddr) -> SocketAddr {
+        open(host, [self.inbound.clone(), self.outbound.clone()])
+    }
+}
+
+/// Forwards connections to `to`, the first direction being the one towards it.
+fn open(to: SocketAddr, directions: [Arc<Direction>; 2]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(to) else {
+                continue;
+            };
+            for (from, to, direction) in
+                [(&near, &far, &directions[0]), (&far, &near, &directions[1])]
+            {
+                let from = from.try_clone().expect("a descriptor");
+                let to = to.try_clone().expect("a descriptor");
+                let direction = direction.clone();
+                thread::spawn(move || forward(from, to, &direction));
+            }
+        }
+    });
+    address
 }
 
 fn forward(mut from: TcpStream, mut to: TcpStream, direction: &Direction) {
--- a/crates/daemon/tests/slow_listing.rs
+++ b/crates/daemon/tests/slow_listing.rs
@@ -53,7 +53,7 @@
         store.write("op/config", &config(1, "desk"));
         let desk = Upstream::start(answer);
         store.write("servers/a", &entry("desk", desk.address, "ready"));
-        let link = Link::open(store.address);
+        let link = Link::new();
         Self { store, link, desk }
     }
 
@@ -70,12 +70,13 @@
     /// Starts a host that has many upstreams to list.
     fn listing_host(&self, bytes_per_s: u64) -> Host {
         self.add_others();
-        self.link.set_answers(bytes_per_s);
+        self.link.set_inbound(bytes_per_s);
         self.host(BOUNDS)
     }
 
     fn host(&self, bounds: &str) -> Host {
-        Host::start_bounded(self.store.clone(), self.link.address, bounds)
+        let address = self.link.outwards(self.store.address);
+        Host::start_bounded(self.store.clone(), address, bounds)
     }
 }
 
@@ -162,7 +163,7 @@
 fn added_route_is_served_before(bounds: &str) {
     let site = Site::start();
     let host = site.host(bounds);
-    site.link.set_answers(TOO_SLOW);
+    site.link.set_inbound(TOO_SLOW);
     site.add_others();
     thread::sleep(BEGINNING);
     site.store.write("op/config", &with_added_route());
--- a/crates/edge/src/arrival.rs
+++ b/crates/edge/src/arrival.rs
@@ -1,4 +1,5 @@
-//! When a request was there to be read: earlier than it is read, if the host's thread was late.
+//! When a request was there to be read: earlier than it is read, if the host's thread was late. And for how long
+//! it, and its answer, wait for the host's link.
 
 use crate::shared::Shared;
 use mulberryrack_core::Time;
@@ -10,6 +11,8 @@
     pub read_at: Time,
     /// Longest time for which the request may have waited before.
     pub late: Duration,
+    /// How much longer than usual the request and its answer take together on their ways.
+    pub link_delay: Duration,
 }
 
 impl Arrival {
@@ -21,7 +24,12 @@
         } else {
             shared.lateness.current()
         };
-        Self { read_at, late }
+        let link_delay = shared.store.uplink.borrow().delay(read_at);
+        Self {
+            read_at,
+            late,
+            link_delay,
+        }
     }
 }
 
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -622,7 +622,7 @@
         Ok(state) => state,
         Err(refusal) => return refuse(shared, &attempt, refusal),
     };
-    state.record_wait(arrival.late);
+    state.record_wait(arrival.late + arrival.link_delay);
     if shared.outlasts_stop(shared.clock.now(), state.deadline) {
         let refusal = Refusal {
             reason: Reason::Draining,
@@ -635,7 +635,7 @@
     let admitted = Admitted {
         state,
         charge,
-        read_late: arrival.late,
+        arrival,
     };
     let run = exchange::run(shared.clone(), link, head, body, admitted, caller);
     let mut running = Running::new(run);
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -18,7 +18,9 @@
 pub use recipient::Recipient;
 
 use crate::{
-    admission, crashes,
+    admission,
+    arrival::Arrival,
+    crashes,
     holdings::HeldBytes,
     notices,
     peers::{self, PlannerLink},
@@ -102,8 +104,8 @@
     progress: Progress,
     /// Whether the request is at an upstream, or on the way there.
     is_dispatched: bool,
-    /// How late the thread was when it read the head of the request.
-    read_late: Duration,
+    /// How late the request was read, and what its ways take.
+    arrival: Arrival,
 }
 
 /// A request that was admitted.
@@ -112,8 +114,8 @@
     pub state: RequestState,
     /// What it has charged its organisation's quota.
     pub charge: Option<Charge<D>>,
-    /// How late the thread was when it read the head of the request.
-    pub read_late: Duration,
+    /// How late it was read, and what its ways take.
+    pub arrival: Arrival,
 }
 
 /// Serves a request until its caller has the final answer or has gone away.
@@ -128,7 +130,7 @@
     let Admitted {
         mut state,
         charge,
-        read_late,
+        arrival,
     } = admitted;
     shared.open_requests.set(shared.open_requests.get() + 1);
     shared.metrics.open_requests.inc();
@@ -139,7 +141,7 @@
         caller,
         progress: Progress::default(),
         is_dispatched: false,
-        read_late,
+        arrival,
     };
     let is_answered = {
         let serve = exchange.serve(&mut state, &link);
--- a/crates/edge/src/exchange/ending.rs
+++ b/crates/edge/src/exchange/ending.rs
@@ -90,7 +90,8 @@
                 .body_read
                 .map_or("-", |it| it.read_state.label()),
             unfinished_bytes = self.progress.body_read.map_or(0, |it| it.unfinished_bytes),
-            read_late_ms = self.read_late.as_millis(),
+            read_late_ms = self.arrival.late.as_millis(),
+            link_delay_ms = self.arrival.link_delay.as_millis(),
             decided_ms = after(times.selected),
             connected_ms = after(times.connected),
             written_ms = after(times.written),
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -100,7 +100,13 @@
     let seed = hash::stable(settings.host.as_bytes(), u64::from(std::process::id()));
     let incarnation = rand::random();
     Rc::new(Shared {
-        store: Store::new(dialect.clone(), settings.kv_address, metrics.clone(), clock),
+        store: Store::new(
+            dialect.clone(),
+            settings.kv_address,
+            metrics.clone(),
+            clock,
+            settings.link_bytes_per_s,
+        ),
         listing: Listing::default(),
         dialect,
         clock,
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -129,6 +129,7 @@
         let cpu_before = traffic::processor_time();
         let late = shared.lateness.measure().await;
         shared.metrics.record_lateness(late);
+        shared.record_traffic();
         if late >= NOTABLE_LATENESS {
             let cpu = traffic::processor_time().saturating_sub(cpu_before);
             journal!(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,7 +23,7 @@
 //! - Speeds of engines: `speeds` logs what the gate has learned.
 //! - This host's own pace: `lateness` measures how late its thread is, and has waits that do not take
 //!   that for the silence of others.
-//! - The host's link: `traffic` counts what crosses it.
+//! - The host's link: `traffic` counts what crosses it; the package `uplink` tells how long bytes wait there.
 //! - Other hosts: `peers` makes and serves calls, `notices` sends and receives datagrams.
 //! - Requests that crash upstreams: `crashes` finds out whether an upstream has ended,
 //!   `suspects` shares the evidence with the other hosts, `refusals` keeps the requests that
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Records in the account of the link what has crossed it.
+    pub fn record_traffic(&self) {
+        let totals = self.metrics.traffic.sum();
+        let mut uplink = self.store.uplink.borrow_mut();
+        uplink.record_totals(self.clock.now(), totals);
+    }
+
     /// The registrations of the other hosts.
     pub fn other_hosts(&self) -> Vec<Registration> {
         let hosts = self.hosts.borrow();
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -16,7 +16,14 @@
     kv::{self, Era, Reply, Revision},
 };
 use mulberryrack_site::Dialect;
-use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use mulberryrack_uplink::Uplink;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     sync::Notify,
     time::{self, Instant},
@@ -41,6 +48,8 @@
     /// Time of the service's last usable answer; `None` if there was none.
     last_answer: Cell<Option<Instant>>,
     clock: Clock,
+    /// The host's link, over which the service is reached.
+    pub uplink: RefCell<Uplink>,
     /// The highest era of any answer, and when it was noticed; `None` if no answer named one.
     era: Cell<Option<(Era, Time)>>,
     /// Number of times that the era rose after the first answer.
@@ -68,7 +77,13 @@
 
 impl<D: Dialect> Store<D> {
     /// Creates a client for the service at an address.
-    pub fn new(dialect: Rc<D>, address: SocketAddr, metrics: Rc<Metrics>, clock: Clock) -> Self {
+    pub fn new(
+        dialect: Rc<D>,
+        address: SocketAddr,
+        metrics: Rc<Metrics>,
+        clock: Clock,
+        link_bytes_per_s: Option<u32>,
+    ) -> Self {
         Self {
             dialect,
             client: Rc::new(Client::default()),
@@ -79,6 +94,7 @@
             metrics,
             last_answer: Cell::new(None),
             clock,
+            uplink: RefCell::new(Uplink::new(link_bytes_per_s)),
             era: Cell::new(None),
             rises: Cell::new(0),
             former_era: Cell::default(),
@@ -192,7 +208,17 @@
             kv::Op::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
+        let is_short = kind(op) == Kind::Store;
+        let begun = self.clock.now();
+        if is_short {
+            self.uplink.borrow_mut().begin_round_trip(begun);
+        }
         let answer = self.exchange(op, patience + wait).await;
+        if is_short {
+            let now = self.clock.now();
+            let mut uplink = self.uplink.borrow_mut();
+            uplink.end_round_trip(now, begun, answer.is_ok());
+        }
         let outcome = match answer {
             Ok(answer) => self.read(op, &answer, rises),
             Err(Fault::NotSent) => Err(kv::Fault::NotApplied),
--- a/crates/edge/src/traffic.rs
+++ b/crates/edge/src/traffic.rs
@@ -2,6 +2,7 @@
 //! the network's own protocols.
 
 use crate::{journal::journal, lateness, metrics::registered, shared::Shared};
+use mulberryrack_uplink::Totals;
 use mulberryrack_wire::plan::datagram::Body;
 use nix::time::{ClockId, clock_gettime};
 use prometheus_client::{
@@ -172,6 +173,15 @@
         &self.tallies[kind as usize]
     }
 
+    /// Bytes sent and received so far.
+    pub fn sum(&self) -> Totals {
+        let sum = |count: fn(&Tally) -> u64| self.tallies.iter().map(count).sum();
+        Totals {
+            sent: sum(|tally| tally.sent.get()),
+            received: sum(|tally| tally.received.get()),
+        }
+    }
+
     /// Bytes sent and received so far, by kind.
     fn totals(&self) -> [(u64, u64); Kind::ALL.len()] {
         Kind::ALL.map(|kind| {
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -32,6 +32,8 @@
     pub max_sockets: usize,
     /// Memory that the process may use, in megabytes; `None` sets no limit.
     pub memory_mb: Option<u32>,
+    /// Bytes a second that the host's link carries in each direction; `None` if that is not known.
+    pub link_bytes_per_s: Option<u32>,
     /// How upstreams are chosen by their load.
     pub balance_rule: BalanceRule,
     /// Whether hosts share the speeds of engines that they measure, where the rule `Even` is in force.
