Edge: what a reader of the changes at scale would stumble over

Read as a newcomer: the transfers of large answers have a module of their own (transfer), so that store is calls again; the configuration is read apart in one place (config_watch::read) instead of two; the fields of a listing's beginning say what they are; the log line of the link and the timer that feeds its account have their reason; the longest transfer no longer claims to follow from the history that the service keeps, which no setting names to the host.

No change of behaviour: full_link, slow_listing and endless pass as before.

--- a/crates/edge/src/config_watch.rs
+++ b/crates/edge/src/config_watch.rs
@@ -1,7 +1,7 @@
 //! Follows the configuration apart from all other keys, while the bytes of these take long: a change of it must
 //! not wait behind the registrations of upstreams and hosts.
 
-use crate::{freshness::CallStart, journal::journal, shared::Shared, watch};
+use crate::{freshness::CallStart, journal::journal, listing, shared::Shared, watch};
 use mulberryrack_core::kv::{Fault, Op, Reply, Revision};
 use mulberryrack_site::Dialect;
 use std::{rc::Rc, time::Duration};
@@ -12,13 +12,11 @@
 const WAIT_SHARE: f64 = 0.35;
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Largest number of entries asked for.
-const LIMIT: u32 = 500;
 
 /// Follows the configuration whenever other changes arrive slowly, until the process ends.
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
     loop {
-        shared.store.transfer_is_long.notified().await;
+        shared.store.transfers.became_long.notified().await;
         journal!(info, "config-apart", begins = true);
         follow(&shared).await;
         journal!(info, "config-apart", begins = false);
@@ -27,7 +25,7 @@
 
 async fn follow<D: Dialect>(shared: &Shared<D>) {
     let mut position = shared.proofs.position();
-    while shared.store.is_behind() {
+    while shared.store.transfers.are_long() {
         match read(shared, position).await {
             Ok(revision) => position = Some(revision),
             // Also in a new era.
@@ -39,7 +37,14 @@
 
 /// Reads the configuration, or waits for a change of it after a revision. Returns the revision up to which it
 /// is known.
-async fn read<D: Dialect>(shared: &Shared<D>, after: Option<Revision>) -> Result<Revision, Fault> {
+///
+/// # Errors
+///
+/// As those of a call to the service.
+pub async fn read<D: Dialect>(
+    shared: &Shared<D>,
+    after: Option<Revision>,
+) -> Result<Revision, Fault> {
     let start = CallStart::now();
     let prefix = shared.dialect.config_key().into();
     let wait = shared
@@ -56,7 +61,7 @@
         None => Op::List {
             prefix,
             after: None,
-            limit: LIMIT,
+            limit: listing::PAGE_LIMIT,
         },
     };
     let (entries, deleted, revision) = match shared.store.call(&op).await? {
--- a/crates/edge/src/lateness.rs
+++ b/crates/edge/src/lateness.rs
@@ -14,7 +14,6 @@
 const PEAK_PERIOD: Duration = Duration::from_secs(1);
 /// Lateness from which on it is logged.
 const NOTABLE_LATENESS: Duration = Duration::from_millis(100);
-
 /// Lateness from which on a measurement counts in a [`Sum`]: more than the delay of a timer.
 const COUNTED_LATENESS: Duration = Duration::from_millis(10);
 
@@ -129,6 +128,7 @@
         let cpu_before = traffic::processor_time();
         let late = shared.lateness.measure().await;
         shared.metrics.record_lateness(late);
+        // The account of the link is kept by the same timer.
         shared.record_traffic();
         if late >= NOTABLE_LATENESS {
             let cpu = traffic::processor_time().saturating_sub(cpu_before);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,7 +15,8 @@
 //! - Memory and places for callers: `holdings` keeps the account of the package `room`.
 //!   `unread` knows for how long an upstream was not read.
 //! - Key-value service: `store` makes the calls, `listing` reads all keys, `watch` follows the configuration
-//!   and the registrations, `config_watch` the configuration alone while these take long, `membership` writes this host's own keys.
+//!   and the registrations, `config_watch` the configuration alone while their bytes take long, of which
+//!   `transfer` keeps account; `membership` writes this host's own keys.
 //! - Keys of organisations: `freshness` knows whether the configuration is provably current.
 //! - Engines: `orders` sends the planner's orders while this host holds the claim to give
 //!   orders; `lease_extension` extends the claim during an outage of the key-value service, and
@@ -83,6 +84,7 @@
 mod suspects;
 mod tokens;
 mod traffic;
+mod transfer;
 pub mod unread;
 mod usage;
 mod usage_metrics;
--- a/crates/edge/src/listing.rs
+++ b/crates/edge/src/listing.rs
@@ -2,7 +2,7 @@
 //! first page on, while the further ones are read.
 
 use crate::{
-    eras,
+    config_watch, eras,
     freshness::CallStart,
     journal::journal,
     refusals,
@@ -29,7 +29,7 @@
 };
 
 /// Largest number of entries asked for with one list call.
-const PAGE_LIMIT: u32 = 500;
+pub const PAGE_LIMIT: u32 = 500;
 /// Delay after the first of several failed calls for a page; it doubles with each further one.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest delay between two tries.
@@ -72,12 +72,14 @@
     era: Option<Era>,
 }
 
-/// When a listing began.
+/// When a listing began, and which it is.
 #[derive(Clone, Copy)]
 struct Beginning {
     number: u64,
+    /// How often the era had risen.
     rises: u32,
     at: Instant,
+    /// That of the first page, from which on changes are followed.
     revision: Revision,
 }
 
@@ -97,7 +99,7 @@
         more,
         revision,
         era,
-    } = read_page(shared, "", None).await.inspect_err(|fault| {
+    } = read_page(shared, None).await.inspect_err(|fault| {
         let took_ms = at.elapsed().as_millis();
         let fault = format_args!("{fault:?}");
         journal!(
@@ -126,31 +128,16 @@
     if has_config {
         watch::record_answer(shared, start, era, revision);
     } else {
-        read_config(shared).await?;
+        // It need not wait for the pages before its own.
+        config_watch::read(shared, None).await?;
     }
     task::spawn_local(read_further(shared.clone(), beginning));
     Ok(revision)
 }
 
-/// Reads the configuration, so that it need not wait for the pages before it.
-async fn read_config<D: Dialect>(shared: &Shared<D>) -> Result<(), Fault> {
-    let start = CallStart::now();
-    let page = read_page(shared, shared.dialect.config_key(), None).await?;
-    let entries = page.entries;
-    for entry in &entries {
-        watch::apply_entry(shared, entry);
-    }
-    watch::record_answer(shared, start, page.era, page.revision);
-    Ok(())
-}
-
-async fn read_page<D: Dialect>(
-    shared: &Shared<D>,
-    prefix: &str,
-    after: Option<Arc<str>>,
-) -> Result<Page, Fault> {
+async fn read_page<D: Dialect>(shared: &Shared<D>, after: Option<Arc<str>>) -> Result<Page, Fault> {
     let op = Op::List {
-        prefix: prefix.into(),
+        prefix: "".into(),
         after,
         limit: PAGE_LIMIT,
     };
@@ -201,7 +188,7 @@
             .borrow()
             .as_ref()
             .and_then(|fill| fill.cursor().cloned());
-        let page = read_page(&shared, "", after).await;
+        let page = read_page(&shared, after).await;
         if !is_current() {
             return;
         }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -4,10 +4,10 @@
     bounds,
     client::{Client, Fault, Remote},
     clock::Clock,
-    journal::journal,
     lateness,
     metrics::Metrics,
     traffic::Kind,
+    transfer::{self, Transfers},
 };
 use bytes::Bytes;
 use http::Response;
@@ -20,25 +20,18 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
-    pin::pin,
     rc::Rc,
     time::Duration,
 };
-use tokio::{
-    sync::Notify,
-    time::{self, Instant},
-};
+use tokio::{sync::Notify, time::Instant};
 
 /// Longest wait for an answer to begin, and then for more of it. A healthy key-value service answers in
 /// milliseconds; how long the bytes of a large answer take depends on the links.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Longest time for the bytes of an answer to arrive: less than that for which the service keeps its history.
+/// Longest time for the bytes of an answer to arrive, so that a service that sends a little now and then does not
+/// hold a call for ever.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Time for the head of an answer, or for the bytes after it, from which on a call is logged, and for the
-/// bytes of a listing or a watch of all keys from which on the host is behind.
-const NOTABLE_TIME: Duration = Duration::from_millis(100);
-
 /// The client of the key-value service.
 pub struct Store<D> {
     dialect: Rc<D>,
@@ -62,12 +55,8 @@
     last_write: Cell<(Option<Era>, Revision)>,
     /// The era that the last usable answer to a watch or a listing named.
     read_era: Cell<Option<Era>>,
-    /// Since when the bytes of an answer to a listing or a watch of all keys arrive.
-    receiving_since: Cell<Option<Instant>>,
-    /// How long the bytes of the last such answer took.
-    last_transfer: Cell<Duration>,
-    /// Notified when such an answer has been arriving for [`NOTABLE_TIME`].
-    pub transfer_is_long: Notify,
+    /// Transfers of the answers to listings and watches of all keys.
+    pub transfers: Transfers,
     /// Whether the last call other than a watch or a listing had no usable answer.
     unanswered: Cell<bool>,
     /// Notified when such a call has a usable answer after one that had none. The service may have
@@ -101,9 +90,7 @@
             era_changed: Notify::new(),
             last_write: Cell::default(),
             read_era: Cell::default(),
-            receiving_since: Cell::default(),
-            last_transfer: Cell::default(),
-            transfer_is_long: Notify::new(),
+            transfers: Transfers::default(),
             unanswered: Cell::new(false),
             recovered: Notify::new(),
         }
@@ -170,23 +157,6 @@
             .map(|last_answer| last_answer.elapsed())
     }
 
-    /// Whether an answer to a listing or a watch of all keys is arriving: its call is not silent.
-    pub const fn is_receiving(&self) -> bool {
-        self.receiving_since.get().is_some()
-    }
-
-    /// How long the bytes of an answer to a listing or a watch of all keys take at the moment.
-    pub fn transfer_time(&self) -> Duration {
-        let current = self.receiving_since.get();
-        let current = current.map_or(Duration::ZERO, |since| since.elapsed());
-        current.max(self.last_transfer.get())
-    }
-
-    /// Whether changes may wait behind the bytes of others.
-    pub fn is_behind(&self) -> bool {
-        self.transfer_time() >= NOTABLE_TIME
-    }
-
     /// Makes a call. A watch gets its own wait in addition to [`CALL_TIMEOUT`]. A usable answer
     /// belongs to the era that [`Store::era`] names when this returns.
     ///
@@ -249,20 +219,21 @@
         let head = lateness::timeout(patience, head).await;
         let (mut connection, head, body) = head.unwrap_or(Err(Fault::Silent))?;
         let head_at = Instant::now();
-        let receiving = reads_all(op).then(|| Receiving::begin(self));
         let body = connection.read_body_while_it_arrives(
             body,
             bounds::MAX_STORE_ANSWER_BYTES,
             CALL_TIMEOUT,
         );
         let body = lateness::timeout(TRANSFER_TIMEOUT, body);
-        let body = match &receiving {
-            Some(receiving) => receiving.report_when_long(body).await,
-            None => body.await,
+        let body = if reads_all(op) {
+            self.transfers.follow(body).await
+        } else {
+            body.await
         };
         let body = body.unwrap_or(Err(Fault::Silent))?;
-        drop(receiving);
-        log_slow(op, head_at - begun, head_at.elapsed(), body.len());
+        let is_watch = matches!(op, kv::Op::Watch { .. });
+        let (head_time, body_time) = (head_at - begun, head_at.elapsed());
+        transfer::log_slow(op.label(), is_watch, head_time, body_time, body.len());
         Ok(connection.end(head, body))
     }
 
@@ -308,22 +279,6 @@
     }
 }
 
-/// Logs a call that took long: whether until the head of its answer, which includes the service's own
-/// time, or from then on, which is the time that the bytes took.
-fn log_slow(op: &kv::Op, head: Duration, body: Duration, bytes: usize) {
-    let is_watch = matches!(op, kv::Op::Watch { .. });
-    if body >= NOTABLE_TIME || (head >= NOTABLE_TIME && !is_watch) {
-        journal!(
-            info,
-            "store-slow",
-            op = op.label(),
-            head_ms = head.as_millis(),
-            body_ms = body.as_millis(),
-            bytes = bytes,
-        );
-    }
-}
-
 /// A short call whose time tells how long bytes wait for the host's link. Dropped before its end, it tells
 /// nothing.
 struct RoundTrip<'a, D> {
@@ -356,39 +311,6 @@
     }
 }
 
-/// The bytes of an answer are arriving, until this is dropped.
-struct Receiving<'a, D> {
-    store: &'a Store<D>,
-    since: Instant,
-}
-
-impl<'a, D> Receiving<'a, D> {
-    fn begin(store: &'a Store<D>) -> Self {
-        let since = Instant::now();
-        store.receiving_since.set(Some(since));
-        Self { store, since }
-    }
-
-    /// Waits for the end, and notifies those that need not wait for it.
-    async fn report_when_long<F: Future>(&self, end: F) -> F::Output {
-        let mut end = pin!(end);
-        tokio::select! {
-            biased;
-            output = end.as_mut() => return output,
-            () = time::sleep(NOTABLE_TIME) => {}
-        }
-        self.store.transfer_is_long.notify_waiters();
-        end.await
-    }
-}
-
-impl<D> Drop for Receiving<'_, D> {
-    fn drop(&mut self) {
-        self.store.receiving_since.set(None);
-        self.store.last_transfer.set(self.since.elapsed());
-    }
-}
-
 /// Whether an operation goes on from a position that an earlier one told.
 const fn continues(op: &kv::Op) -> bool {
     matches!(op, kv::Op::Watch { .. } | kv::Op::List { .. })
--- a/crates/edge/src/traffic.rs
+++ b/crates/edge/src/traffic.rs
@@ -292,6 +292,7 @@
             late_ms = total.as_millis(),
             late_times = pauses,
             sent = all_sent,
+            // The kinds that have crossed the link follow, each as a key of its own.
             received = format_args!("{all_received}{by_kind}"),
         );
         (before, cpu_before) = (totals, cpu);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -125,7 +125,7 @@
 async fn forgotten<D: Dialect>(store: &Store<D>) {
     loop {
         store.recovered.notified().await;
-        if !store.is_receiving() {
+        if !store.transfers.is_under_way() {
             return;
         }
     }
@@ -197,7 +197,8 @@
         let rises = shared.store.rises();
         shared.proofs.record_position(Some(revision), rises);
         let ways = shared.store.uplink.borrow().delay(shared.clock.now()) * WAYS_TO_APPLY;
-        let late = shared.lateness.current() * TURNS_TO_APPLY + shared.store.transfer_time() + ways;
+        let late =
+            shared.lateness.current() * TURNS_TO_APPLY + shared.store.transfers.time() + ways;
         let delay = max_delay.mul_f64(BATCH_DELAY_SHARE).saturating_sub(late);
         let delay = delay.max(max_delay.mul_f64(MIN_BATCH_DELAY_SHARE));
         let delay = delay.min(max_wait);
@@ -228,7 +229,7 @@
     loop {
         shared.proofs.catch_up.notified().await;
         // What has begun to arrive are these changes, or will be followed by them.
-        if !shared.store.is_receiving() {
+        if !shared.store.transfers.is_under_way() {
             return;
         }
     }
