Replica: how long changes gather is decided without a network, and tested

The decision is a function of the package replica now. With the delay of the link taken away on the tree, changes_gather_for_less_while_the_hosts_link_is_full fails; the other four pass. No change of behaviour.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -17,6 +17,7 @@
     kv::{Entry, Era, Fault, Op, Outcome, Reply, Revision},
 };
 use mulberryrack_fleet::Fence;
+use mulberryrack_replica::Lateness;
 use mulberryrack_site::{Dialect, upstream::State};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{self, Instant};
@@ -25,20 +26,6 @@
 /// longest allowed reaction delay. A watch that hears nothing, or whose answer is lost, is found out
 /// soon after it, with time left to list all keys.
 const WATCH_WAIT_SHARE: f64 = 0.35;
-/// Delay before the next watch after an answer with changes, as a share of the longest
-/// allowed reaction delay. Further changes are collected in this time; the rest of the
-/// allowed time is for the next call and its retry.
-const BATCH_DELAY_SHARE: f64 = 0.35;
-/// Turns of the thread that changes wait for after the delay: for its end, and for the answer to the
-/// watch. The delay is shorter by these, by the time that the bytes of answers take, and by that for which they
-/// wait for the host's link: together they have to keep the allowed reaction delay.
-const TURNS_TO_APPLY: u32 = 2;
-/// Ways over the host's link, there and back, that a change takes after the delay: that of the watch, and that
-/// of a request which was decided on before its answer.
-const WAYS_TO_APPLY: u32 = 2;
-/// Shortest delay of a thread that is late, as a share of the longest allowed reaction delay: without
-/// one, it would be later for the calls.
-const MIN_BATCH_DELAY_SHARE: f64 = 0.15;
 /// Longest delay after changes, as a share of the revocation delay, and longest time without an answer
 /// to a watch while the proof that the configuration is current is old. Else a watch may wait for the
 /// whole reaction delay: an answer that is lost shows by what other hosts state, or by the next call
@@ -196,11 +183,12 @@
         shared.changed.notify_waiters();
         let rises = shared.store.rises();
         shared.proofs.record_position(Some(revision), rises);
-        let ways = shared.store.uplink.borrow().delay(shared.clock.now()) * WAYS_TO_APPLY;
-        let late =
-            shared.lateness.current() * TURNS_TO_APPLY + shared.store.transfers.time() + ways;
-        let delay = max_delay.mul_f64(BATCH_DELAY_SHARE).saturating_sub(late);
-        let delay = delay.max(max_delay.mul_f64(MIN_BATCH_DELAY_SHARE));
+        let late = Lateness {
+            turn: shared.lateness.current(),
+            transfer: shared.store.transfers.time(),
+            way: shared.store.uplink.borrow().delay(shared.clock.now()),
+        };
+        let delay = mulberryrack_replica::gathering(max_delay, late);
         let delay = delay.min(max_wait);
         tokio::select! {
             () = time::sleep(delay) => {}
