Tests: keys of a configuration that is gone are refused while upstreams register

With the removal passed over, as before, the host serves the key until the large answer has arrived, and the test fails; it passes on the code as it is.

--- a/crates/daemon/tests/slow_listing.rs
+++ b/crates/daemon/tests/slow_listing.rs
@@ -88,9 +88,13 @@
 }
 
 fn get(host: &Host, path: &str) -> u16 {
+    get_with(host, path, "")
+}
+
+fn get_with(host: &Host, path: &str, headers: &str) -> u16 {
     let text = format!(
         "GET {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {path}\r\nDeadline-Ms: 2000\r\n\
-         Connection: close\r\n\r\n"
+         {headers}Connection: close\r\n\r\n"
     );
     status(&exchange(host.callers, &text))
 }
@@ -159,6 +163,11 @@
     assert_eq!(get(&host, "/added/"), 200);
 }
 
+/// The log line of the last of the upstreams that register.
+fn last_is_listed() -> String {
+    format!("event=upstream-listed id=b{:04}", OTHERS - 1)
+}
+
 /// Has many upstreams register while the answers to a host come slowly, and then a route added.
 fn added_route_is_served_before(bounds: &str) {
     let site = Site::start();
@@ -169,7 +178,7 @@
     site.store.write("op/config", &with_added_route());
     host.wait_until(|host| host.logged("event=config version=2") == 1);
     assert_eq!(get(&host, "/added/"), 200);
-    let last = format!("event=upstream-listed id=b{:04}", OTHERS - 1);
+    let last = last_is_listed();
     host.wait_until(|host| host.logged(&last) == 1);
     assert!(is_before(&host, "event=config version=2", &last));
 }
@@ -183,3 +192,20 @@
 fn added_route_is_served_while_such_upstreams_register_and_revocation_is_strict() {
     added_route_is_served_before(STRICT);
 }
+
+#[test]
+fn keys_of_a_configuration_that_is_gone_are_refused_while_upstreams_register() {
+    let site = Site::start();
+    let mut settings = config(2, "desk");
+    settings["tenants"] = json!([{ "name": "red", "api-keys": ["red-key"] }]);
+    site.store.write("op/config", &settings);
+    let host = site.host(STRICT);
+    let book = || get_with(&host, "/book/", "Authorization: Bearer red-key\r\n");
+    host.wait_until(|_| book() == 200);
+    site.link.set_inbound(TOO_SLOW);
+    site.add_others();
+    host.wait_until(|host| host.logged("event=config-apart begins=true") == 1);
+    site.store.remove("op/config");
+    host.wait_until(|_| book() == 503);
+    assert_eq!(host.logged(&last_is_listed()), 0);
+}
