--- a/crates/daemon/tests/site/store.rs
+++ b/crates/daemon/tests/site/store.rs
@@ -73,6 +73,8 @@
     pub tells_no_era: Arc<AtomicBool>,
     /// Calls with this text in path or body are answered with a delay after they are executed.
     pub late: Arc<Mutex<Option<(&'static str, Duration)>>>,
+    /// Answers to listings of all keys.
+    pub listed: Arc<AtomicUsize>,
     /// Largest number of items in an answer to a listing.
     pub page: Arc<AtomicUsize>,
     /// Held for reading by a call while it is executed, so that it belongs to one era.
@@ -118,6 +120,7 @@
             silent: Arc::default(),
             tells_no_era: Arc::default(),
             late: Arc::default(),
+            listed: Arc::default(),
             page: Arc::new(AtomicUsize::new(DEFAULT_PAGE)),
             executing,
         };
@@ -299,6 +302,9 @@
         match call.split('/').next() {
             Some("kv-range") => {
                 let after = query.get("after").copied().unwrap_or_default();
+                let is_all = query["prefix"].is_empty();
+                self.listed
+                    .fetch_add(usize::from(is_all), Ordering::Relaxed);
                 (200, self.range(query["prefix"], after))
             }
             Some("kv-key") => self.key(query["key"]),
--- a/crates/daemon/tests/slow_listing.rs
+++ b/crates/daemon/tests/slow_listing.rs
@@ -38,6 +38,10 @@
     "config_ms = 1000\ndrain_ms = 1000\nstrict_revocation = true\nrevoke_ms = 5000\n";
 /// Time for the host to begin with what takes long.
 const BEGINNING: Duration = Duration::from_millis(300);
+/// Time for it to have begun with all of that: it has gathered changes before.
+const GATHERED: Duration = Duration::from_secs(1);
+/// Time in which each host makes a short call to the service.
+const RENEWED: Duration = Duration::from_secs(1);
 
 struct Site {
     store: Store,
@@ -174,13 +178,12 @@
     let host = site.host(bounds);
     site.link.set_inbound(TOO_SLOW);
     site.add_others();
-    thread::sleep(BEGINNING);
+    thread::sleep(GATHERED);
     site.store.write("op/config", &with_added_route());
     host.wait_until(|host| host.logged("event=config version=2") == 1);
     assert_eq!(get(&host, "/added/"), 200);
-    let last = last_is_listed();
-    host.wait_until(|host| host.logged(&last) == 1);
-    assert!(is_before(&host, "event=config version=2", &last));
+    assert_eq!(host.logged(&last_is_listed()), 0);
+    host.wait_until(|host| host.logged(&last_is_listed()) == 1);
 }
 
 #[test]
@@ -209,3 +212,73 @@
     host.wait_until(|_| book() == 503);
     assert_eq!(host.logged(&last_is_listed()), 0);
 }
+
+/// Bytes that a host has received of a kind, by its metrics.
+fn received(host: &Host, kind: &str) -> u64 {
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let metrics = exchange(host.metrics, text);
+    let name = format!("mulberryrack_link_bytes_total{{kind=\"{kind}\",direction=\"received\"}} ");
+    let value = metrics.lines().find_map(|line| line.strip_prefix(&name));
+    value.expect("a metric").parse().expect("a number")
+}
+
+/// Bytes of an answer with all changes.
+fn changes(store: &Store) -> u64 {
+    let text = "GET /mulberryrack/kv-watch?prefix=&after=0&wait-ms=0 HTTP/1.1\r\nHost: x\r\n\
+                Connection: close\r\n\r\n";
+    u64::try_from(exchange(store.address, text).len()).expect("a length")
+}
+
+#[test]
+fn proofs_that_the_configuration_is_current_cost_no_changes() {
+    let site = Site::start();
+    let host = site.host(STRICT);
+    site.link.set_inbound(TOO_SLOW);
+    site.add_others();
+    host.wait_until(|host| host.logged(&last_is_listed()) == 1);
+    let (received, changes) = (received(&host, "watch"), changes(&site.store));
+    assert!(received < changes * 5 / 4, "{received} of {changes}");
+}
+
+#[test]
+fn changes_that_arrive_are_not_asked_for_again_when_another_call_is_answered_again() {
+    let site = Site::start();
+    let host = site.host(BOUNDS);
+    site.link.set_inbound(TOO_SLOW);
+    site.add_others();
+    thread::sleep(GATHERED);
+    site.store.rejecting.store(true, Ordering::Relaxed);
+    thread::sleep(RENEWED);
+    site.store.rejecting.store(false, Ordering::Relaxed);
+    host.wait_until(|host| host.logged(&last_is_listed()) == 1);
+    assert!(host.logged("event=lease-not-renewed") > 0);
+    assert_eq!(host.logged("event=watch-again"), 0);
+}
+
+#[test]
+fn changes_that_arrive_are_not_asked_for_again_as_another_host_knows_them() {
+    let site = Site::start();
+    let host = site.host(STRICT);
+    let other = Host::start_bounded(site.store.clone(), site.store.address, STRICT);
+    host.wait_until(|host| host.store.has_besides("mulberryrack/hosts/", &[]));
+    site.link.set_inbound(TOO_SLOW);
+    site.add_others();
+    other.wait_until(|other| other.logged(&last_is_listed()) == 1);
+    host.wait_until(|host| host.logged(&last_is_listed()) == 1);
+    assert_eq!(host.logged("event=watch-again"), 0);
+}
+
+#[test]
+fn listing_goes_on_from_the_page_that_failed() {
+    let site = Site::start();
+    let host = site.listing_host(SLOW);
+    let all = site.store.listed.load(Ordering::Relaxed);
+    assert!(all > 0, "the host has read a page");
+    site.store.rejecting.store(true, Ordering::Relaxed);
+    host.wait_until(|host| host.logged("event=store-not-read") > 0);
+    site.store.rejecting.store(false, Ordering::Relaxed);
+    host.wait_until(|host| host.logged("event=store-read") == 1);
+    let keys = OTHERS + 1;
+    let pages = site.store.listed.load(Ordering::Relaxed);
+    assert_eq!(pages, keys / PAGE + 1);
+}
