Edge: whoever takes the claim to give orders has read all keys

A host could take the claim, and give orders, while it still read the pages of its first listing: since the service counts as reached after the first page, and the claim relied on that. It would load models again that are on upstreams which it has not listed yet, and make room for them.

The claim is taken once no listing is open. The exception for abandoned claims that needed is no longer needed.

host_that_has_not_read_all_keys_does_not_take_the_claim_to_give_orders: the claim was gained before the listing ended on, and is gained after it now.

--- a/crates/daemon/tests/slow_listing.rs
+++ b/crates/daemon/tests/slow_listing.rs
@@ -282,3 +282,11 @@
     let pages = site.store.listed.load(Ordering::Relaxed);
     assert_eq!(pages, keys / PAGE + 1);
 }
+
+#[test]
+fn host_that_has_not_read_all_keys_does_not_take_the_claim_to_give_orders() {
+    let site = Site::start();
+    let host = site.listing_host(SLOW);
+    host.wait_until(|host| host.logged("event=claim-gained") == 1);
+    assert_eq!(host.logged("event=store-read"), 1);
+}
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -58,11 +58,6 @@
         shared: &Shared<D>,
         holder: Option<&(Registration, Fence)>,
     ) -> Option<Fence> {
-        // Hosts that were not listed yet are not known to be gone.
-        if shared.listing.is_open() {
-            self.unheld = None;
-            return None;
-        }
         let hosts = shared.hosts.borrow();
         let holds_none = shared.claim.borrow().fence().is_none();
         let unheld = holder.filter(|(registration, _)| {
@@ -415,7 +410,9 @@
     let is_free = holder.is_none() || abandoned.is_some();
     let is_listed = keys.lease.is_some() && keys.host_key.is_some() && knows_itself(shared);
     let holds_none = shared.claim_state(now) == ClaimState::NotHeld;
-    if !(is_free && is_listed && holds_none && shared.store_reached.get()) {
+    // Whoever gives orders knows all upstreams, and which hosts are not registered.
+    let knows_all = shared.store_reached.get() && !shared.listing.is_open();
+    if !(is_free && is_listed && holds_none && knows_all) {
         keys.free_since = None;
         return;
     }
